--- /dev/null
+++ b/lotusstream/__init__.py
@@ -0,0 +1,1 @@
+"""lotusstream: a front for query engines with limited memory."""
--- /dev/null
+++ b/lotusstream/drill/wire.py
@@ -0,0 +1,282 @@
+"""Codec of the bench's wire: batches of events in, replies of actions out. No decision is made here."""
+
+from __future__ import annotations
+
+import json
+import struct
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any, BinaryIO
+
+from lotusstream import interface as api
+
+EVENT_SIZE, ACTION_SIZE, ENTRY_SIZE = 56, 24, 25
+LIST_COUNT = 16
+
+BATCH_HEADER = struct.Struct("<IQII")
+REPLY_HEADER = struct.Struct("<III")
+WHO = struct.Struct("<I")
+
+INIT = struct.Struct("<IQII")
+INVENTORY = struct.Struct("<BII")
+VIEW = struct.Struct("<IIBB")
+ORDER = struct.Struct("<IQBIBfIfQ")
+RESPONSE = struct.Struct("<IQIIHB6sHB4f")
+UPDATE_OF = struct.Struct("<IQfBH6s")
+FLOWING = struct.Struct("<IQIH6s")
+CLIENT_GONE = struct.Struct("<IQ")
+RING = struct.Struct("<IQ")
+PROBE_RESULT = struct.Struct("<IHI6sB4f")
+ENTRY = struct.Struct("<HBQ6sfHH")
+
+ASSIGN = struct.Struct("<BIQ6sI")
+RESOURCES = struct.Struct("<BIQfB")
+OVERLOAD_REPLY = struct.Struct("<BIQI")
+FAIL = struct.Struct("<BIQ")
+WITHDRAW = struct.Struct("<BIQH")
+SAMPLE = struct.Struct("<BI6s")
+SET_TIMER = struct.Struct("<BIQQ")
+KEEP_INFORMED = struct.Struct("<BIB")
+DIE = struct.Struct("<BIII")
+
+HINT_VALID = 1
+LONGEST_TIME_OUT = 2**32 - 1
+
+EFFECTS = {
+    "repeatable": api.Effect.REPLAYABLE,
+    "by_key": api.Effect.UNIQUED,
+    "once": api.Effect.NON_REPLAYABLE,
+}
+STATES = {0: api.State.DRAINING, 1: api.State.GONE, 2: api.State.READY}
+LIST_KINDS = {
+    0: api.ListKind.CHANGES,
+    1: api.ListKind.FULL,
+    2: api.ListKind.CACHED,
+    3: api.ListKind.FAILED,
+}
+
+
+class MalformedInput(Exception):
+    """The input is not a batch of this wire."""
+
+
+@dataclass(frozen=True, slots=True)
+class Batch:
+    number: int
+    clock: int
+    records: bytes
+    count: int
+    tail: bytes
+
+    def record(self, index: int) -> tuple[int, bytes]:
+        start = index * EVENT_SIZE
+        return self.records[start], self.records[start + 1 : start + EVENT_SIZE]
+
+    def cut(self, offset: int, length: int) -> bytes:
+        if offset + length > len(self.tail):
+            raise MalformedInput(f"batch {self.number}: a tail field ends past the tail")
+        return self.tail[offset : offset + length]
+
+
+def _read_exactly(stream: BinaryIO, size: int) -> bytes:
+    data = stream.read(size)
+    if len(data) != size:
+        raise MalformedInput(f"input ends {size - len(data)} bytes short of a whole frame")
+    return data
+
+
+def read_batch(stream: BinaryIO) -> Batch | None:
+    """The next batch, or None where the input has ended."""
+    first = stream.read(1)
+    if not first:
+        return None
+    header = first + _read_exactly(stream, BATCH_HEADER.size - 1)
+    number, clock, length, count = BATCH_HEADER.unpack(header)
+    body_size = length - WHO.size
+    if body_size < count * EVENT_SIZE:
+        raise MalformedInput(f"batch {number}: {count} records do not fit in {length} bytes")
+    body = _read_exactly(stream, body_size)
+    split = count * EVENT_SIZE
+    return Batch(number, clock, body[:split], count, body[split:])
+
+
+def write_reply(stream: BinaryIO, batch: Batch, records: Sequence[bytes], tail: bytes = b"") -> None:
+    body = b"".join(record.ljust(ACTION_SIZE, b"\0") for record in records) + tail
+    stream.write(REPLY_HEADER.pack(batch.number, len(records), len(body)) + body)
+    stream.flush()
+
+
+def die_record(who: int, offset: int, length: int) -> bytes:
+    return DIE.pack(76, who, offset, length)
+
+
+def read_entries(batch: Batch, offset: int, count: int) -> tuple[api.Engine, ...]:
+    data = batch.cut(offset, count * ENTRY_SIZE)
+    entries = []
+    for zone, health, started, engine, _weight, cell, kind in ENTRY.iter_unpack(data):
+        if health not in STATES:
+            raise MalformedInput(f"batch {batch.number}: unknown health {health}")
+        entries.append(api.Engine(engine, STATES[health], zone, cell, kind, started))
+    return tuple(entries)
+
+
+def _profile(raw: dict[str, Any], index: int, specifics: dict[str, Any]) -> api.Profile:
+    def listed(name: str, absent: Any) -> Any:
+        values = specifics.get(name) or []
+        return values[index] if index < len(values) else absent
+
+    def only(name: str) -> frozenset[int] | None:
+        return frozenset(raw[name]) if raw.get(name) is not None else None
+
+    return api.Profile(
+        target=raw["aim"],
+        stretch=raw.get("aim_stretch", 0.0),
+        client_timeout=raw["deadline"],
+        benefit=raw.get("gain", 1.0),
+        late_benefit=raw.get("late_value", 0.0),
+        effect=EFFECTS[raw["effect"]],
+        scope=api.Scope(raw.get("group", "all")),
+        remembered_for=raw.get("window", 0),
+        in_order=bool(raw.get("fifo_by_key")),
+        zones=only("stays_in"),
+        kinds=only("flavors_only"),
+        loads=bool(listed("writes_tables", False)),
+        waits=bool(listed("class_waits", False)),
+        threads=max(1, int(listed("threads_by_class", 1))),
+    )
+
+
+def _allowed(raw: dict[str, Any], specifics: dict[str, Any], discovery: str) -> api.Allowed:
+    return api.Allowed(
+        sends=raw.get("max_attempts", 1),
+        copies=bool(raw.get("second_copies")),
+        cancelling=bool(raw.get("cancelling")),
+        probes=bool(raw.get("probes")),
+        grants=bool(specifics.get("takes_grants")),
+        priorities=bool(specifics.get("ranks_heeded")),
+        longest_advice=raw.get("max_retry_after", 0) if raw.get("retry_after") else 0,
+        must_subscribe=discovery == "subscribe",
+    )
+
+
+def _duties(raw: dict[str, Any]) -> api.Duties:
+    return api.Duties(
+        answer_slack=raw.get("answer_slack", 0),
+        cold_from=raw.get("cold_from", 1.0),
+        warm_up=raw.get("warm_up", 0),
+        fall_multiple=raw.get("fall_multiple", 1.0),
+        overload_for=raw.get("overload_for", 0),
+        key_rest=raw.get("key_rest", 0),
+        extra_min=raw.get("min_extra", 0) if "resend_span" in raw else None,
+        extra_ratio=raw.get("extra_ratio", 0.0),
+        extra_span=raw.get("resend_span", 0),
+        ask_within=raw.get("ask_within", 0),
+    )
+
+
+def decode_start(seed: int, text: bytes) -> tuple[api.Started, tuple[str, ...]]:
+    """The first event of an instance, and the names of its load report's columns."""
+    try:
+        raw = json.loads(text)
+        specifics, limits = raw.get("specifics", {}), raw.get("limits", {})
+        penalties = raw.get("penalties", {})
+        cores, sizes = specifics.get("cpu_of_kind") or [1], specifics.get("size_mb") or []
+        sizes = [*sizes, *[0.0] * len(cores)]
+        kinds = tuple(api.Kind(float(count), float(size)) for count, size in zip(cores, sizes, strict=False))
+        started = api.Started(
+            seed=seed,
+            gateways=max(1, raw.get("n_instances", 1)),
+            period=raw.get("period", 1),
+            profiles=tuple(_profile(p, i, specifics) for i, p in enumerate(raw["request_classes"])),
+            kinds=kinds,
+            most_grant=specifics.get("largest_share", 1.0),
+            note_every=specifics.get("progress_pace", 0),
+            waste_price=penalties.get("waste", 0.0),
+            probe_price=penalties.get("probe", 0.0),
+            allowed=_allowed(limits, specifics, raw.get("discovery", "automatic")),
+            duties=_duties(raw.get("rules", {})),
+        )
+        return started, tuple(raw.get("report", {}).get("columns", ()))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise MalformedInput(f"settings cannot be read: {error!r}") from error
+
+
+class EventDecoder:
+    """Turns one instance's records into events of the interface."""
+
+    def __init__(self, columns: tuple[str, ...]) -> None:
+        self._columns = columns
+        self._decoders: dict[int, Callable[[bytes], api.Event]] = {
+            1: self._probe_result,
+            2: self._response,
+            3: self._update_of,
+            4: self._order,
+            5: self._flowing,
+            7: self._client_gone,
+            8: self._ring,
+        }
+
+    def decode(self, code: int, body: bytes) -> api.Event | None:
+        """The event, or None for mail from other gateways, which nothing here uses."""
+        return None if code == 12 else self._decoders[code](body)
+
+    def _report(self, count: int, values: tuple[float, ...]) -> api.Report | None:
+        if not count:
+            return None
+        told = dict(zip(self._columns, values[:count], strict=False))
+        return api.Report(told.get("active"), told.get("waiting"), told.get("cpu"))
+
+    def _order(self, body: bytes) -> api.Event:
+        _, call, profile, hint, attrs, memory, grace, group, key = ORDER.unpack_from(body)
+        known = hint if attrs & HINT_VALID else None
+        return api.Arrived(call, profile, known, memory or None, grace, int(group), key or None)
+
+    def _response(self, body: bytes) -> api.Event:
+        fields = RESPONSE.unpack_from(body)
+        _, call, latency, cost, outcome, over, engine, trial, count, *values = fields
+        work = (cost >> 12) * 1000 if cost else None
+        memory = float((cost & 0xFFF) * 4) if cost else None
+        report = self._report(count, tuple(values))
+        return api.Ended(
+            call, trial, engine, api.Outcome(outcome), latency, bool(over), work, memory, report
+        )
+
+    def _update_of(self, body: bytes) -> api.Event:
+        _, call, amount, kind, trial, engine = UPDATE_OF.unpack_from(body)
+        waits = api.Note.WAITS_FOR_LOAD if amount == 2 else api.Note.WAITS_FOR_MEMORY
+        note = {1: api.Note.PROGRESS, 2: api.Note.SPILLS, 3: waits}[kind]
+        return api.Noted(call, trial, engine, note, amount)
+
+    def _flowing(self, body: bytes) -> api.Event:
+        _, call, _rtt, trial, engine = FLOWING.unpack_from(body)
+        return api.Streaming(call, trial, engine)
+
+    def _client_gone(self, body: bytes) -> api.Event:
+        return api.ClientGone(CLIENT_GONE.unpack_from(body)[1])
+
+    def _ring(self, body: bytes) -> api.Event:
+        return api.Woken(RING.unpack_from(body)[1])
+
+    def _probe_result(self, body: bytes) -> api.Event:
+        _, outcome, latency, engine, count, *values = PROBE_RESULT.unpack_from(body)
+        return api.Probed(engine, api.Outcome(outcome), latency, self._report(count, tuple(values)))
+
+
+def encode_action(who: int, action: api.Action) -> bytes:
+    match action:
+        case api.Send(command, engine, time_out):
+            return ASSIGN.pack(70, who, command, engine, min(time_out, LONGEST_TIME_OUT))
+        case api.Resources(command, grant, priority):
+            return RESOURCES.pack(66, who, command, grant, priority)
+        case api.Shed(command, come_back_after):
+            return OVERLOAD_REPLY.pack(72, who, command, come_back_after)
+        case api.Fail(command):
+            return FAIL.pack(71, who, command)
+        case api.Cancel(command, send):
+            return WITHDRAW.pack(77, who, command, send)
+        case api.Probe(engine):
+            return SAMPLE.pack(75, who, engine)
+        case api.Wake(at, token):
+            return SET_TIMER.pack(74, who, at, token)
+        case api.Subscribe(on):
+            return KEEP_INFORMED.pack(73, who, on)
--- /dev/null
+++ b/lotusstream/interface.py
@@ -0,0 +1,272 @@
+"""What goes into and comes out of the decision module: events, actions, profiles, engines and outcomes.
+
+Times are whole microseconds. Ids of commands and engines are opaque and are handed back untouched.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+EngineId = bytes
+
+
+class Effect(Enum):
+    REPLAYABLE = "replayable"
+    UNIQUED = "uniqued"
+    NON_REPLAYABLE = "non-replayable"
+
+
+class Scope(Enum):
+    """The engines that drop a uniqued command's repeats."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class State(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Outcome(IntEnum):
+    ANSWERED = 200
+    CANCELLED = 499
+    MOOT = 410
+    ERROR = 500
+    CONNECT_FAILED = 502
+    FULL = 503
+    TIMED_OUT = 504
+    RESET = 598
+
+
+class ListKind(Enum):
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class Note(Enum):
+    PROGRESS = "progress"
+    SPILLS = "spills"
+    WAITS_FOR_MEMORY = "waits for memory"
+    WAITS_FOR_LOAD = "waits for a load"
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    target: int
+    stretch: float
+    client_timeout: int
+    benefit: float
+    late_benefit: float
+    effect: Effect
+    scope: Scope
+    remembered_for: int
+    in_order: bool
+    zones: frozenset[int] | None
+    kinds: frozenset[int] | None
+    loads: bool
+    waits: bool
+    threads: int
+
+
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """What the deployment lets a gateway do."""
+
+    sends: int
+    copies: bool
+    cancelling: bool
+    probes: bool
+    grants: bool
+    priorities: bool
+    longest_advice: int
+    must_subscribe: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Duties:
+    """The figures of the rules."""
+
+    answer_slack: int
+    cold_from: float
+    warm_up: int
+    fall_multiple: float
+    overload_for: int
+    key_rest: int
+    extra_min: int | None
+    extra_ratio: float
+    extra_span: int
+    ask_within: int
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    cores: float
+    memory_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class Engine:
+    """One line of the engine list."""
+
+    id: EngineId
+    state: State
+    zone: int
+    cell: int
+    kind: int
+    started: int
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """An engine's word on its load; None where the deployment does not tell."""
+
+    in_hand: float | None = None
+    waiting: float | None = None
+    busy: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Started:
+    seed: int
+    gateways: int
+    period: int
+    profiles: tuple[Profile, ...]
+    kinds: tuple[Kind, ...]
+    most_grant: float
+    note_every: int
+    waste_price: float
+    probe_price: float
+    allowed: Allowed
+    duties: Duties
+
+
+@dataclass(frozen=True, slots=True)
+class EngineNews:
+    kind: ListKind
+    engines: tuple[Engine, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Arrived:
+    command: int
+    profile: int
+    hint: int | None
+    memory_mb: float | None
+    client_timeout: int
+    group: int
+    key: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A send has its outcome. `over`: the command needs no further answer."""
+
+    command: int
+    send: int
+    engine: EngineId
+    outcome: Outcome
+    latency: int
+    over: bool
+    work: int | None
+    memory_mb: float | None
+    report: Report | None
+
+
+@dataclass(frozen=True, slots=True)
+class Noted:
+    command: int
+    send: int
+    engine: EngineId
+    note: Note
+    amount: float
+
+
+@dataclass(frozen=True, slots=True)
+class Streaming:
+    command: int
+    send: int
+    engine: EngineId
+
+
+@dataclass(frozen=True, slots=True)
+class ClientGone:
+    command: int
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    engine: EngineId
+    outcome: Outcome
+    latency: int
+    report: Report | None
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """All that is known at this time has been told."""
+
+
+Event = (
+    Started | EngineNews | Arrived | Ended | Noted | Streaming | ClientGone | Woken | Probed | Settled
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    command: int
+    engine: EngineId
+    time_out: int
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    command: int
+    grant_mb: float
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Shed:
+    command: int
+    come_back_after: int
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    command: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    command: int
+    send: int
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    engine: EngineId
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    at: int
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    on: bool
+
+
+Action = Send | Resources | Shed | Fail | Cancel | Probe | Wake | Subscribe
--- /dev/null
+++ b/lotusstream/policy.py
@@ -0,0 +1,548 @@
+"""All of lotusstream's decisions.
+
+A caller makes one Gateway and passes it every event, in order, with the time; `handle` returns the
+actions to carry out, in order. The first event is Started; Settled follows the last event of a moment,
+and held commands are released then. Events and actions: lotusstream/interface.py.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from lotusstream import interface as api
+from lotusstream.interface import Effect, ListKind, Note, Outcome, State
+
+SAMPLE = 5  # k of SMF: how many earliest-due held commands are compared
+BUCKETS = 8  # a ring's whole buckets
+OPEN_WIDTH, LEAST_WIDTH = 2.0, 0.5  # threads a core that a bound may reach, and may shrink to
+PRESSURE, NEAR_BEST = 3.0, 1.5  # latency over the engine's best
+WARM_GROUPS = 4  # groups that an engine is taken to keep warm
+WARM_WORTH = 0.75  # work left to a command whose group is warm
+FAILURES = 3  # in a row, that set an engine aside
+CREDIT_START, CREDIT_MOST, CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
+COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
+PATIENCE = 3.0  # an engine with sends out is silent past this many expected latencies
+RUNAWAY = 3.0  # a send past this many expected latencies has a bad plan
+PROVES_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+MAY_STILL_RUN = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
+
+
+class Ring:
+    """Sums over the last `span`, in fixed buckets of time that are used again."""
+
+    def __init__(self, span: int) -> None:
+        self.width = max(1, span // BUCKETS)
+        self.slots = [[-1, 0.0, 0.0] for _ in range(BUCKETS + 1)]
+
+    def add(self, now: int, amount: float, count: float = 1.0) -> None:
+        at = now // self.width
+        slot = self.slots[at % len(self.slots)]
+        if slot[0] != at:
+            slot[:] = [at, 0.0, 0.0]
+        slot[1] += amount
+        slot[2] += count
+
+    def total(self, now: int, *, covering: bool = True) -> tuple[float, float]:
+        """Amount and count; `covering` takes in at least the span, otherwise at most."""
+        oldest = now // self.width - BUCKETS + (0 if covering else 1)
+        kept = [slot for slot in self.slots if slot[0] >= oldest]
+        return sum(slot[1] for slot in kept), sum(slot[2] for slot in kept)
+
+    def mean(self, now: int, prior: float, weight: float = 1.0) -> float:
+        amount, count = self.total(now)
+        return (amount + prior * weight) / (count + weight)
+
+
+class Usual:
+    """What a profile's commands usually take, learnt from whatever the deployment tells."""
+
+    def __init__(self, profile: api.Profile) -> None:
+        self.guess = profile.target * profile.threads / 2.0
+        self.work = Ring(4 * profile.client_timeout)
+        self.hints = Ring(4 * profile.client_timeout)
+        self.memory = Ring(4 * profile.client_timeout)
+
+    def learn(self, now: int, work: float, hint: int | None, memory: float | None) -> None:
+        usual = self.work.mean(now, self.guess)
+        self.work.add(now, min(work, 4 * usual))  # a bad plan says little of the usual
+        if hint:
+            self.hints.add(now, hint * min(1.0, 4 * usual / max(work, 1.0)))
+        if memory:
+            self.memory.add(now, memory)
+
+    def estimate(self, now: int, hint: int | None) -> float:
+        usual = self.work.mean(now, self.guess)
+        hints, count = self.hints.total(now)
+        if hint and count:
+            return hint * usual * (count + 1) / (hints + hint)
+        return float(hint or usual)
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One send of a command."""
+
+    be: Backend
+    at: int
+    expected: float
+    number: int
+    finish: float  # when it is thought to end
+    stalled: bool = False
+    outcome: Outcome | None = None
+    doomed: bool = False  # cancelled by this gateway
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.outcome not in PROVES_NOT_RUN
+
+
+@dataclass(slots=True, eq=False)
+class Command:
+    id: int
+    profile: api.Profile
+    usual: Usual
+    group: int
+    key: int | None
+    hint: int | None
+    memory: float | None
+    work: float
+    due: int
+    ends_by: int
+    tries: list[Try] = field(default_factory=list)
+    rank: int = -1
+
+    @property
+    def out(self) -> list[Try]:
+        return [a_try for a_try in self.tries if a_try.outcome is None]
+
+    @property
+    def ran(self) -> list[Try]:
+        return [a_try for a_try in self.tries if a_try.may_have_run]
+
+
+class Backend:
+    """An engine as this gateway sees it."""
+
+    def __init__(self, entry: api.Engine, cores: float, span: int) -> None:
+        self.entry, self.cores = entry, cores
+        self.cold_at: int | None = entry.started or None
+        self.out: dict[int, tuple[Command, Try]] = {}  # by command and send
+        self.threads = 0
+        self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
+        self.warm: dict[int, int] = {}  # groups last run here, oldest first
+        self.paces = Ring(span)
+        self.pace = 1.0  # recent latency over what the work would take alone
+        self.best: float | None = None
+        self.pressed = False
+        self.width = OPEN_WIDTH
+        self.full_at: int | None = None
+        self.heard = 0
+        self.failures = 0
+        self.aside_until: int | None = None
+        self.credit = CREDIT_START
+        self.pushed: Ring | None = None  # work sent while cold
+
+    def ran(self, group: int, now: int) -> None:
+        self.warm.pop(group, None)
+        self.warm[group] = now
+        if len(self.warm) > WARM_GROUPS:
+            del self.warm[next(iter(self.warm))]
+
+
+class Gateway:
+    def __init__(self) -> None:
+        self.now = 0
+        self.actions: list[api.Action] = []
+        self.backends: dict[api.EngineId, Backend] = {}
+        self.open: dict[int, Command] = {}
+        self.waiting: dict[int, Command] = {}
+        self.turns: dict[int, deque[Command]] = {}
+        self.rests: dict[int, int] = {}
+        self.next_look: int | None = None
+        self.draws = 0
+        self.reactions = {
+            api.Started: self._start,
+            api.EngineNews: self._learn_engines,
+            api.Arrived: self._take,
+            api.Ended: self._end_try,
+            api.Noted: self._note,
+            api.Streaming: self._stream,
+            api.ClientGone: self._client_gone,
+            api.Woken: self._woken,
+            api.Probed: self._probed,
+            api.Settled: self._settle,
+        }
+
+    def handle(self, now: int, event: api.Event) -> list[api.Action]:
+        """Takes what happened and returns what is to be done."""
+        self.now, self.actions = now, []
+        self.reactions[type(event)](event)  # type: ignore[operator]
+        return self.actions
+
+    # What is told
+
+    def _start(self, event: api.Started) -> None:
+        self.given = event
+        self.duties, self.allowed = event.duties, event.allowed
+        self.usual = [Usual(profile) for profile in event.profiles]
+        self.share = 1.0 / event.gateways
+        self.shortest = min(profile.target for profile in event.profiles)
+        self.look_every = max(event.period, self.shortest // 20)
+        self.taken, self.extras = Ring(self.duties.extra_span), Ring(self.duties.extra_span)
+        if self.allowed.must_subscribe:
+            self.actions.append(api.Subscribe(True))
+
+    def _learn_engines(self, event: api.EngineNews) -> None:
+        if event.kind is ListKind.FAILED:
+            self.actions.append(api.Subscribe(True))
+            return
+        listed = {entry.id for entry in event.engines}
+        if event.kind is not ListKind.CHANGES:
+            for engine in [engine for engine in self.backends if engine not in listed]:
+                del self.backends[engine]
+        for entry in event.engines:
+            if entry.state is State.GONE:
+                self.backends.pop(entry.id, None)
+                continue
+            be = self.backends.get(entry.id)
+            if be is None or be.entry.started != entry.started:
+                cores = self.given.kinds[entry.kind].cores if entry.kind < len(self.given.kinds) else 1.0
+                fresh = Backend(entry, cores, 2 * self.shortest)
+                if be is not None:
+                    fresh.out, fresh.threads = be.out, be.threads
+                self.backends[entry.id] = fresh
+            else:
+                be.entry = entry
+
+    def _take(self, event: api.Arrived) -> None:
+        profile, usual = self.given.profiles[event.profile], self.usual[event.profile]
+        work = usual.estimate(self.now, event.hint)
+        stretch = profile.stretch * work / profile.threads if event.hint else 0.0
+        ends_by = self.now + event.client_timeout
+        due = min(int(self.now + profile.target + stretch), ends_by)
+        key = event.key if profile.in_order else None
+        cmd = Command(event.command, profile, usual, event.group, key, event.hint, event.memory_mb,
+                      work, due, ends_by)  # fmt: skip
+        self.open[cmd.id] = self.waiting[cmd.id] = cmd
+        if key is not None:
+            self.turns.setdefault(key, deque()).append(cmd)
+        self.taken.add(self.now, 0.0)
+        if event.client_timeout <= 2 * self.look_every:  # nothing can be done in what is left
+            self._give_up(cmd)
+
+    def _client_gone(self, event: api.ClientGone) -> None:
+        if cmd := self.open.get(event.command):
+            self._forget(cmd)
+
+    def _stream(self, event: api.Streaming) -> None:
+        if cmd := self.open.get(event.command):
+            cmd.ends_by = cmd.due = 1 << 62  # a begun stream belongs to the client
+
+    def _woken(self, event: api.Woken) -> None:
+        if event.token == self.next_look:
+            self.next_look = None
+
+    def _probed(self, event: api.Probed) -> None:
+        if event.outcome is Outcome.ANSWERED and (be := self.backends.get(event.engine)):
+            be.heard = self.now
+
+    def _note(self, event: api.Noted) -> None:
+        be = self.backends.get(event.engine)
+        if be is None or (held := be.out.get(event.command << 8 | event.send)) is None:
+            return
+        cmd, a_try = held
+        be.heard = self.now
+        if event.note is Note.PROGRESS and event.amount > 0:
+            age = self.now - a_try.at
+            a_try.finish = a_try.at + age / min(1.0, event.amount)
+            if cmd.profile.loads and be.loads.get(cmd.group, (None, 0))[0] is cmd:
+                be.loads[cmd.group] = (cmd, a_try.finish)
+        elif event.note is Note.WAITS_FOR_LOAD:
+            a_try.stalled = True
+            if cmd.group not in be.loads:  # another gateway's load
+                typical = max((u.work.mean(self.now, u.guess) / p.threads
+                               for u, p in zip(self.usual, self.given.profiles, strict=True) if p.loads),
+                              default=0.0)  # fmt: skip
+                be.loads[cmd.group] = (None, self.now + typical / 2)
+
+    def _end_try(self, event: api.Ended) -> None:
+        be = self.backends.get(event.engine)
+        held = be.out.pop(event.command << 8 | event.send, None) if be else None
+        if be and held:
+            be.threads -= held[0].profile.threads
+            self._judge(be, *held, event)
+        cmd = held[0] if held else self.open.get(event.command)
+        if cmd is None or event.send >= len(cmd.tries):
+            return
+        cmd.tries[event.send].outcome = event.outcome
+        if cmd.key is not None and event.outcome in MAY_STILL_RUN:
+            self.rests[cmd.key] = self.now + self.duties.key_rest
+        if cmd.id not in self.open:
+            self._pass_turn(cmd)
+        elif event.over or event.outcome is Outcome.ANSWERED:
+            self._forget(cmd)
+        elif not cmd.out:
+            self._try_again(cmd)
+
+    def _judge(self, be: Backend, cmd: Command, a_try: Try, event: api.Ended) -> None:
+        """An engine earns credit by its answers and is judged by failures in a row."""
+        if cmd.profile.loads and be.loads.get(cmd.group, (None, 0))[0] is cmd:
+            del be.loads[cmd.group]
+        if event.outcome is Outcome.ANSWERED:
+            be.heard = self.now
+            be.credit = min(CREDIT_MOST, be.credit + CREDIT_PER_ANSWER)
+            if be.failures >= FAILURES:  # it may have restarted before the list says so
+                be.cold_at, be.pushed = self.now, None
+            be.failures, be.aside_until = 0, None
+            work = event.work or event.latency * cmd.profile.threads
+            if not a_try.stalled:
+                usual = work if event.work else cmd.work
+                be.paces.add(self.now, min(20.0, event.latency * cmd.profile.threads / max(usual, 1.0)))
+            if event.work or not a_try.stalled:
+                cmd.usual.learn(self.now, work, cmd.hint, event.memory_mb)
+        elif event.outcome is Outcome.FULL:
+            be.full_at = be.heard = self.now
+        elif not a_try.doomed and event.outcome is not Outcome.MOOT:
+            be.failures += 1
+            if be.failures >= FAILURES:
+                be.aside_until = self.now + self.shortest * min(4, be.failures - FAILURES + 1)
+
+    # Endings
+
+    def _forget(self, cmd: Command) -> None:
+        self.open.pop(cmd.id, None)
+        self.waiting.pop(cmd.id, None)
+        for a_try in cmd.out:
+            self._cancel(cmd, a_try)
+        self._pass_turn(cmd)
+
+    def _cancel(self, cmd: Command, a_try: Try) -> None:
+        if self.allowed.cancelling and not a_try.doomed:
+            a_try.doomed = True
+            self.actions.append(api.Cancel(cmd.id, a_try.number))
+
+    def _pass_turn(self, cmd: Command) -> None:
+        if cmd.key is not None and not cmd.out and cmd.id not in self.open and cmd.key in self.turns:
+            line = self.turns[cmd.key]
+            if cmd in line:
+                line.remove(cmd)
+            if not line:
+                del self.turns[cmd.key]
+
+    def _give_up(self, cmd: Command) -> None:
+        """The final answer at once: a shed reply where a repeat is harmless, otherwise a failure."""
+        profile, ran = cmd.profile, cmd.ran
+        harmless = (profile.effect is Effect.REPLAYABLE or not ran
+                    or (profile.effect is Effect.UNIQUED and profile.scope is api.Scope.ALL))  # fmt: skip
+        if harmless:
+            self.actions.append(api.Shed(cmd.id, self.allowed.longest_advice))
+        else:
+            self.actions.append(api.Fail(cmd.id))
+        self._forget(cmd)
+
+    def _try_again(self, cmd: Command) -> None:
+        if self._may_send_again(cmd) and self.now < cmd.ends_by:
+            self.waiting[cmd.id] = cmd
+        else:
+            self._give_up(cmd)
+
+    def _may_send_again(self, cmd: Command) -> bool:
+        if len(cmd.tries) >= self.allowed.sends:
+            return False
+        ran = cmd.ran
+        if not ran or cmd.profile.effect is Effect.REPLAYABLE:
+            return True
+        in_time = self.now + self.look_every < ran[0].at + cmd.profile.remembered_for
+        return cmd.profile.effect is Effect.UNIQUED and in_time
+
+    def _within_budget(self) -> bool:
+        if self.duties.extra_min is None:
+            return True
+        taken = self.taken.total(self.now, covering=False)[1]
+        made = self.extras.total(self.now)[1]
+        return made + 1 <= self.duties.extra_min + self.duties.extra_ratio * taken
+
+    # Where a command may go
+
+    def _allowed_there(self, cmd: Command, be: Backend) -> bool:
+        profile, entry = cmd.profile, be.entry
+        if entry.state is not State.READY or (profile.zones is not None and entry.zone not in profile.zones):
+            return False
+        if profile.kinds is not None and entry.kind not in profile.kinds:
+            return False
+        if be.aside_until is not None and (be.out or self.now < be.aside_until):
+            return False
+        if cmd.tries and (be.credit < 1 or not self._may_send_again(cmd)):
+            return False
+        if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
+            first = ran[0].be.entry
+            if profile.scope is api.Scope.ZONE and first.zone != entry.zone:
+                return False
+            if profile.scope is api.Scope.CELL and first.cell != entry.cell:
+                return False
+        return self._cold_room(cmd, be)
+
+    def _cold_room(self, cmd: Command, be: Backend) -> bool:
+        """Guards a just started engine: this gateway's part of what pushes it over, in any window."""
+        if be.cold_at is None or self.now >= be.cold_at + self.duties.warm_up:
+            return True
+        if be.pushed is None:
+            be.pushed = Ring(self.duties.overload_for)
+        may = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN
+        sent = be.pushed.total(self.now)[0]
+        return sent + self._weight(cmd) <= may * self.duties.overload_for * self.share
+
+    def _weight(self, cmd: Command) -> float:
+        """The usual work of the command's profile, never thought too small."""
+        return cmd.usual.work.mean(self.now, 2 * cmd.usual.guess, 4.0)
+
+    def _room(self, cmd: Command, be: Backend) -> bool:
+        if not be.pressed or not be.threads:
+            return True
+        return be.threads + cmd.profile.threads <= be.cores * self.share * be.width
+
+    def _gauge(self, be: Backend) -> None:
+        best = be.best or 1.0
+        be.pace = be.paces.mean(self.now, best)
+        refused = be.full_at is not None and self.now - be.full_at < self.shortest
+        be.pressed = refused or be.pace > PRESSURE * best
+
+    def _added_stall(self, cmd: Command, be: Backend) -> float:
+        """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
+        profile, stall = cmd.profile, 0.0
+        if not (profile.loads or profile.waits):
+            return 0.0
+        if cmd.group in be.loads:
+            load, ends = be.loads[cmd.group]
+            if load is None and ends <= self.now:
+                del be.loads[cmd.group]
+            else:  # a load that outruns its estimate still has time left
+                began = load.tries[-1].at if load else self.now
+                stall = max(ends - self.now, (self.now - began) / 4)
+        if profile.loads:
+            readers = sum(1 for other, _ in be.out.values()
+                          if other.group == cmd.group and other.profile.waits)  # fmt: skip
+            stall += readers * cmd.work / profile.threads
+        return stall
+
+    def _cost(self, cmd: Command, be: Backend, calm: float) -> float:
+        """The choice among equals: crowding, the engine's speed, and whether it keeps the group warm."""
+        crowd = (be.threads + cmd.profile.threads) / (be.cores * self.share)
+        slow = max(1.0, be.pace / calm)
+        cold = self.duties.cold_from if be.cold_at and self.now < be.cold_at + self.duties.warm_up else 1.0
+        return max(1.0, crowd / cold) * slow * (WARM_WORTH if cmd.group in be.warm else 1.0)
+
+    def _place(self, cmd: Command, calm: float) -> tuple[float, float, float, Backend] | None:
+        best: tuple[float, float, float, Backend] | None = None
+        for be in self.backends.values():
+            if not self._allowed_there(cmd, be) or not self._room(cmd, be):
+                continue
+            home = -be.warm[cmd.group] if cmd.group in be.warm else len(be.warm) + be.threads / be.cores
+            option = (self._added_stall(cmd, be), self._cost(cmd, be, calm), home, be)
+            if best is None or option[:3] < best[:3]:
+                best = option
+        return best
+
+    # The moment's end
+
+    def _settle(self, _event: api.Settled) -> None:
+        if self.next_look is None:
+            self._look()
+            self.next_look = self.now + self.look_every
+            self.actions.append(api.Wake(self.next_look, self.next_look))
+        self._release()
+
+    def _release(self) -> None:
+        """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
+        held = [cmd for cmd in self.waiting.values() if self._has_turn(cmd)]
+        ready = deque(sorted(held, key=lambda cmd: cmd.due))
+        for be in self.backends.values():
+            self._gauge(be)
+        paces = sorted(be.pace for be in self.backends.values())
+        calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
+        while ready:
+            sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
+            picked: tuple[float, int, Backend] | None = None
+            for at, cmd in enumerate(sample):
+                if (place := self._place(cmd, calm)) and (picked is None or place[0] < picked[0]):
+                    picked = (place[0], at, place[3])
+                    if not place[0]:
+                        break
+            if picked is None:
+                continue  # held; later ones may still have room elsewhere
+            self._send(sample.pop(picked[1]), picked[2])
+            ready.extendleft(reversed(sample))
+
+    def _has_turn(self, cmd: Command) -> bool:
+        if cmd.key is None:
+            return True
+        return self.turns[cmd.key][0] is cmd and self.now >= self.rests.get(cmd.key, 0)
+
+    def _send(self, cmd: Command, be: Backend) -> None:
+        if cmd.tries:
+            if not self._within_budget():
+                return
+            self.extras.add(self.now, 0.0)
+            be.credit -= 1
+        del self.waiting[cmd.id]
+        stall = self._added_stall(cmd, be)
+        expected = cmd.work / cmd.profile.threads * max(1.0, be.pace)
+        a_try = Try(be, self.now, expected, len(cmd.tries), self.now + expected + stall, stall > 0)
+        cmd.tries.append(a_try)
+        if not be.out:
+            be.heard = self.now
+        be.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
+        be.threads += cmd.profile.threads
+        be.ran(cmd.group, self.now)
+        if be.pushed is not None:
+            be.pushed.add(self.now, self._weight(cmd))
+        if cmd.profile.loads:
+            be.loads[cmd.group] = (cmd, a_try.finish)
+        self._rank(cmd)
+        self.actions.append(api.Send(cmd.id, be.entry.id, cmd.ends_by - self.now))
+
+    def _rank(self, cmd: Command) -> None:
+        """Scarce cores go where the benefit per work is highest, and to loads, behind which others stand."""
+        if cmd.rank < 0 and (self.allowed.priorities or self.allowed.grants):
+            cmd.rank = 3 if cmd.profile.loads or cmd.profile.threads == 1 else 1
+            grant = 2 * (cmd.memory or cmd.usual.memory.mean(self.now, 0.0)) if self.allowed.grants else 0.0
+            self.actions.append(api.Resources(cmd.id, grant, cmd.rank))
+
+    def _look(self) -> None:
+        """What time alone brings: ends of patience, silence and the engines' widths."""
+        for be in self.backends.values():
+            self._adjust(be)
+        for cmd in list(self.open.values()):
+            fresh = cmd.work / cmd.profile.threads
+            hopeless = cmd.id in self.waiting and not cmd.tries and self.now > cmd.due + fresh / 2
+            if hopeless or self.now + 2 * self.look_every >= cmd.ends_by:
+                self._give_up(cmd)
+            elif cmd.out and cmd.id not in self.waiting:
+                self._reconsider(cmd)
+
+    def _adjust(self, be: Backend) -> None:
+        amount, count = be.paces.total(self.now)
+        if count >= BUCKETS:
+            pace = amount / count
+            be.best = pace if be.best is None else min(pace, be.best * 1.001)
+            if pace < NEAR_BEST * be.best:
+                be.width = min(OPEN_WIDTH, be.width * 1.02)
+            elif pace > PRESSURE * be.best:
+                be.width = max(LEAST_WIDTH, be.width * 0.98)
+
+    def _silent(self, be: Backend) -> bool:
+        """Sends are out, one is long overdue, and nothing at all was heard: neither pause nor slowness."""
+        quiet = self.now - be.heard
+        return bool(be.out) and quiet > self.shortest and any(
+            self.now - a_try.at > PATIENCE * a_try.expected for _, a_try in be.out.values())
+
+    def _reconsider(self, cmd: Command) -> None:
+        a_try = cmd.out[-1]
+        if len(cmd.out) > 1 or not (self._may_send_again(cmd) and self.allowed.cancelling):
+            return
+        if self._silent(a_try.be) and a_try.be.aside_until is None:
+            a_try.be.failures = max(a_try.be.failures, FAILURES)
+            a_try.be.aside_until = self.now + self.shortest
+        if a_try.be.aside_until is not None and not a_try.doomed:
+            self._cancel(cmd, a_try)
