--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -15,7 +16,7 @@
 
 SAMPLE = 5  # k of SMF: how many earliest-due held commands are compared
 BUCKETS = 8  # a ring's whole buckets
-OPEN_WIDTH, LEAST_WIDTH = 2.0, 0.5  # threads a core that a bound may reach, and may shrink to
+OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
 PRESSURE, NEAR_BEST = 3.0, 1.5  # latency over the engine's best
 WARM_GROUPS = 4  # groups that an engine is taken to keep warm
 WARM_WORTH = 0.75  # work left to a command whose group is warm
@@ -62,6 +63,11 @@
         self.work = Ring(4 * profile.client_timeout)
         self.hints = Ring(4 * profile.client_timeout)
         self.memory = Ring(4 * profile.client_timeout)
+        self.paces = Ring(4 * profile.client_timeout)  # logarithms
+
+    def pace(self, now: int) -> float:
+        """Usual latency over what the work would take alone."""
+        return max(1.0, math.exp(self.paces.mean(now, 0.0)))
 
     def learn(self, now: int, work: float, hint: int | None, memory: float | None) -> None:
         usual = self.work.mean(now, self.guess)
@@ -134,6 +140,7 @@
         self.paces = Ring(span)
         self.pace = 1.0  # recent latency over what the work would take alone
         self.best: float | None = None
+        self.overdue = 0.0  # the pace that sends still out already show
         self.pressed = False
         self.width = OPEN_WIDTH
         self.full_at: int | None = None
@@ -160,7 +167,7 @@
         self.turns: dict[int, deque[Command]] = {}
         self.rests: dict[int, int] = {}
         self.next_look: int | None = None
-        self.draws = 0
+        self.calm = 1.0  # the middle engine's pace
         self.reactions = {
             api.Started: self._start,
             api.EngineNews: self._learn_engines,
@@ -298,7 +305,9 @@
             work = event.work or event.latency * cmd.profile.threads
             if not a_try.stalled:
                 usual = work if event.work else cmd.work
-                be.paces.add(self.now, min(20.0, event.latency * cmd.profile.threads / max(usual, 1.0)))
+                pace = math.log(max(event.latency, 1) * cmd.profile.threads / max(usual, 1.0))
+                be.paces.add(self.now, pace)
+                cmd.usual.paces.add(self.now, pace)
             if event.work or not a_try.stalled:
                 cmd.usual.learn(self.now, work, cmd.hint, event.memory_mb)
         elif event.outcome is Outcome.FULL:
@@ -404,7 +413,7 @@
 
     def _gauge(self, be: Backend) -> None:
         best = be.best or 1.0
-        be.pace = be.paces.mean(self.now, best)
+        be.pace = max(math.exp(be.paces.mean(self.now, math.log(best))), be.overdue)
         refused = be.full_at is not None and self.now - be.full_at < self.shortest
         be.pressed = refused or be.pace > PRESSURE * best
 
@@ -460,7 +469,8 @@
         for be in self.backends.values():
             self._gauge(be)
         paces = sorted(be.pace for be in self.backends.values())
-        calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
+        self.calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
+        calm = self.calm
         while ready:
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
@@ -506,7 +516,7 @@
         """Scarce cores go where the benefit per work is highest, and to loads, behind which others stand."""
         if cmd.rank < 0 and (self.allowed.priorities or self.allowed.grants):
             cmd.rank = 3 if cmd.profile.loads or cmd.profile.threads == 1 else 1
-            grant = 2 * (cmd.memory or cmd.usual.memory.mean(self.now, 0.0)) if self.allowed.grants else 0.0
+            grant = 0.0
             self.actions.append(api.Resources(cmd.id, grant, cmd.rank))
 
     def _look(self) -> None:
@@ -515,16 +525,20 @@
             self._adjust(be)
         for cmd in list(self.open.values()):
             fresh = cmd.work / cmd.profile.threads
-            hopeless = cmd.id in self.waiting and not cmd.tries and self.now > cmd.due + fresh / 2
+            hopeless = cmd.id in self.waiting and not cmd.tries and self.now + fresh > cmd.due
             if hopeless or self.now + 2 * self.look_every >= cmd.ends_by:
                 self._give_up(cmd)
             elif cmd.out and cmd.id not in self.waiting:
                 self._reconsider(cmd)
 
     def _adjust(self, be: Backend) -> None:
+        # guards against an engine so crowded that it answers nothing, and so tells nothing
+        ages = sorted((self.now - a_try.at) * cmd.profile.threads / cmd.work
+                      for cmd, a_try in be.out.values() if not a_try.stalled)  # fmt: skip
+        be.overdue = ages[len(ages) // 2] if ages else 0.0
         amount, count = be.paces.total(self.now)
         if count >= BUCKETS:
-            pace = amount / count
+            pace = math.exp(amount / count)
             be.best = pace if be.best is None else min(pace, be.best * 1.001)
             if pace < NEAR_BEST * be.best:
                 be.width = min(OPEN_WIDTH, be.width * 1.02)
@@ -538,11 +552,18 @@
             self.now - a_try.at > PATIENCE * a_try.expected for _, a_try in be.out.values())
 
     def _reconsider(self, cmd: Command) -> None:
-        a_try = cmd.out[-1]
-        if len(cmd.out) > 1 or not (self._may_send_again(cmd) and self.allowed.cancelling):
+        """Guards against silent engines, bad plans and engines far slower than the rest."""
+        a_try, be = cmd.out[-1], cmd.out[-1].be
+        if a_try.doomed or not (self.allowed.cancelling and self._may_send_again(cmd)):
             return
-        if self._silent(a_try.be) and a_try.be.aside_until is None:
-            a_try.be.failures = max(a_try.be.failures, FAILURES)
-            a_try.be.aside_until = self.now + self.shortest
-        if a_try.be.aside_until is not None and not a_try.doomed:
+        if self._silent(be) and be.aside_until is None:
+            be.failures = max(be.failures, FAILURES)
+            be.aside_until = self.now + self.shortest
+        alone = cmd.work / cmd.profile.threads
+        fresh = alone * max(self.calm, cmd.usual.pace(self.now))
+        finish = a_try.finish if a_try.finish > self.now else 2 * self.now - a_try.at
+        overlong = finish - a_try.at > RUNAWAY * fresh and not cmd.profile.loads
+        late = finish > max(cmd.due, self.now + 2 * fresh)
+        if be.aside_until is not None or (overlong and late and not a_try.stalled):
+            cmd.usual.paces.add(self.now, math.log((self.now - a_try.at) / alone))
             self._cancel(cmd, a_try)
