--- a/lotusstream/drill/wire.py
+++ b/lotusstream/drill/wire.py
@@ -179,7 +179,7 @@
     try:
         raw = json.loads(text)
         specifics, limits = raw.get("specifics", {}), raw.get("limits", {})
-        penalties = raw.get("penalties", {})
+        columns = tuple(raw.get("report", {}).get("columns", ()))
         cores, sizes = specifics.get("cpu_of_kind") or [1], specifics.get("size_mb") or []
         sizes = [*sizes, *[0.0] * len(cores)]
         kinds = tuple(api.Kind(float(count), float(size)) for count, size in zip(cores, sizes, strict=False))
@@ -191,12 +191,11 @@
             kinds=kinds,
             most_grant=specifics.get("largest_share", 1.0),
             note_every=specifics.get("progress_pace", 0),
-            waste_price=penalties.get("waste", 0.0),
-            probe_price=penalties.get("probe", 0.0),
+            tells_in_hand="active" in columns,
             allowed=_allowed(limits, specifics, raw.get("discovery", "automatic")),
             duties=_duties(raw.get("rules", {})),
         )
-        return started, tuple(raw.get("report", {}).get("columns", ()))
+        return started, columns
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise MalformedInput(f"settings cannot be read: {error!r}") from error
 
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -140,8 +140,7 @@
     kinds: tuple[Kind, ...]
     most_grant: float
     note_every: int
-    waste_price: float
-    probe_price: float
+    tells_in_hand: bool
     allowed: Allowed
     duties: Duties
 
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -23,6 +23,7 @@
 FAILURES = 3  # in a row, that set an engine aside
 CREDIT_START, CREDIT_MOST, CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
+PROBES_PER_COMMAND = 0.1  # at most, to learn this gateway's share of the engines
 PATIENCE = 3.0  # an engine with sends out is silent past this many expected latencies
 RUNAWAY = 3.0  # a send past this many expected latencies has a bad plan
 PROVES_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
@@ -64,6 +65,7 @@
         self.hints = Ring(4 * profile.client_timeout)
         self.memory = Ring(4 * profile.client_timeout)
         self.paces = Ring(4 * profile.client_timeout)  # logarithms
+        self.credit = CREDIT_START  # earned by sends anew that were far faster than the one given up
 
     def pace(self, now: int) -> float:
         """Usual latency over what the work would take alone."""
@@ -97,6 +99,7 @@
     stalled: bool = False
     outcome: Outcome | None = None
     doomed: bool = False  # cancelled by this gateway
+    overlong: bool = False  # and for taking far longer than expected
 
     @property
     def may_have_run(self) -> bool:
@@ -192,9 +195,11 @@
     def _start(self, event: api.Started) -> None:
         self.given = event
         self.duties, self.allowed = event.duties, event.allowed
+        self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
         self.share = 1.0 / event.gateways
-        self.shortest = min(profile.target for profile in event.profiles)
+        self.own, self.all = Ring(4 * self.shortest), Ring(4 * self.shortest)
+        self.probe_due, self.probed = 0.0, 0
         self.look_every = max(event.period, self.shortest // 20)
         self.taken, self.extras = Ring(self.duties.extra_span), Ring(self.duties.extra_span)
         if self.allowed.must_subscribe:
@@ -235,6 +240,7 @@
         if key is not None:
             self.turns.setdefault(key, deque()).append(cmd)
         self.taken.add(self.now, 0.0)
+        self.probe_due += PROBES_PER_COMMAND
         if event.client_timeout <= 2 * self.look_every:  # nothing can be done in what is left
             self._give_up(cmd)
 
@@ -251,8 +257,15 @@
             self.next_look = None
 
     def _probed(self, event: api.Probed) -> None:
-        if event.outcome is Outcome.ANSWERED and (be := self.backends.get(event.engine)):
-            be.heard = self.now
+        if event.outcome is not Outcome.ANSWERED or (be := self.backends.get(event.engine)) is None:
+            return
+        be.heard = self.now
+        if event.report and event.report.in_hand is not None:
+            self.own.add(self.now, len(be.out))
+            self.all.add(self.now, max(event.report.in_hand, len(be.out)))
+            even = 1.0 / self.given.gateways
+            own, everyone = self.own.total(self.now)[0], self.all.total(self.now)[0]
+            self.share = max(even / 2, (own + 10 * even) / (everyone + 10))
 
     def _note(self, event: api.Noted) -> None:
         be = self.backends.get(event.engine)
@@ -302,6 +315,9 @@
             if be.failures >= FAILURES:  # it may have restarted before the list says so
                 be.cold_at, be.pushed = self.now, None
             be.failures, be.aside_until = 0, None
+            cmd.usual.credit = min(CREDIT_MOST, cmd.usual.credit + CREDIT_PER_ANSWER / 4)
+            if any(t.overlong and event.latency < (t.finish - t.at) / 2 for t in cmd.tries):
+                cmd.usual.credit = min(CREDIT_MOST, cmd.usual.credit + 2)
             work = event.work or event.latency * cmd.profile.threads
             if not a_try.stalled:
                 usual = work if event.work else cmd.work
@@ -376,12 +392,10 @@
 
     def _allowed_there(self, cmd: Command, be: Backend) -> bool:
         profile, entry = cmd.profile, be.entry
-        if entry.state is not State.READY or (profile.zones is not None and entry.zone not in profile.zones):
+        if profile.zones is not None and entry.zone not in profile.zones:
             return False
         if profile.kinds is not None and entry.kind not in profile.kinds:
             return False
-        if be.aside_until is not None and (be.out or self.now < be.aside_until):
-            return False
         if cmd.tries and (be.credit < 1 or not self._may_send_again(cmd)):
             return False
         if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
@@ -406,6 +420,13 @@
         """The usual work of the command's profile, never thought too small."""
         return cmd.usual.work.mean(self.now, 2 * cmd.usual.guess, 4.0)
 
+    def _open(self, be: Backend) -> bool:
+        if be.entry.state is not State.READY:
+            return False
+        if be.aside_until is not None and (be.out or self.now < be.aside_until):
+            return False
+        return not be.pressed or not be.threads or be.threads + 1 <= be.cores * self.share * be.width
+
     def _room(self, cmd: Command, be: Backend) -> bool:
         if not be.pressed or not be.threads:
             return True
@@ -435,20 +456,20 @@
             stall += readers * cmd.work / profile.threads
         return stall
 
-    def _cost(self, cmd: Command, be: Backend, calm: float) -> float:
+    def _cost(self, cmd: Command, be: Backend) -> float:
         """The choice among equals: crowding, the engine's speed, and whether it keeps the group warm."""
         crowd = (be.threads + cmd.profile.threads) / (be.cores * self.share)
-        slow = max(1.0, be.pace / calm)
+        slow = max(1.0, be.pace / self.calm)
         cold = self.duties.cold_from if be.cold_at and self.now < be.cold_at + self.duties.warm_up else 1.0
         return max(1.0, crowd / cold) * slow * (WARM_WORTH if cmd.group in be.warm else 1.0)
 
-    def _place(self, cmd: Command, calm: float) -> tuple[float, float, float, Backend] | None:
+    def _place(self, cmd: Command, roomy: list[Backend]) -> tuple[float, float, float, Backend] | None:
         best: tuple[float, float, float, Backend] | None = None
-        for be in self.backends.values():
+        for be in roomy:
             if not self._allowed_there(cmd, be) or not self._room(cmd, be):
                 continue
             home = -be.warm[cmd.group] if cmd.group in be.warm else len(be.warm) + be.threads / be.cores
-            option = (self._added_stall(cmd, be), self._cost(cmd, be, calm), home, be)
+            option = (self._added_stall(cmd, be), self._cost(cmd, be), home, be)
             if best is None or option[:3] < best[:3]:
                 best = option
         return best
@@ -470,12 +491,11 @@
             self._gauge(be)
         paces = sorted(be.pace for be in self.backends.values())
         self.calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
-        calm = self.calm
-        while ready:
+        while ready and (roomy := [be for be in self.backends.values() if self._open(be)]):
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
-                if (place := self._place(cmd, calm)) and (picked is None or place[0] < picked[0]):
+                if (place := self._place(cmd, roomy)) and (picked is None or place[0] < picked[0]):
                     picked = (place[0], at, place[3])
                     if not place[0]:
                         break
@@ -521,6 +541,9 @@
 
     def _look(self) -> None:
         """What time alone brings: ends of patience, silence and the engines' widths."""
+        if self.probe_due >= 1 and self.allowed.probes and self.given.tells_in_hand and self.backends:
+            self.probe_due, self.probed = 0.0, self.probed + 1
+            self.actions.append(api.Probe(list(self.backends)[self.probed % len(self.backends)]))
         for be in self.backends.values():
             self._adjust(be)
         for cmd in list(self.open.values()):
@@ -564,6 +587,10 @@
         finish = a_try.finish if a_try.finish > self.now else 2 * self.now - a_try.at
         overlong = finish - a_try.at > RUNAWAY * fresh and not cmd.profile.loads
         late = finish > max(cmd.due, self.now + 2 * fresh)
-        if be.aside_until is not None or (overlong and late and not a_try.stalled):
+        if be.aside_until is not None:
+            self._cancel(cmd, a_try)
+        elif overlong and late and not a_try.stalled and cmd.usual.credit >= 1:
+            cmd.usual.credit -= 1
+            a_try.overlong = True
             cmd.usual.paces.add(self.now, math.log((self.now - a_try.at) / alone))
             self._cancel(cmd, a_try)
