Silence needs overdue sends in a row and missed notes; notes justify a resend without credit

One bad plan made an idle engine look silent: its sends were all taken back and its answers then marked it cold for a whole warm-up.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -17,7 +17,7 @@
 SAMPLE = 5  # k of SMF: how many earliest-due held commands are compared
 BUCKETS = 8  # a ring's whole buckets
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
-PRESSURE, NEAR_BEST = 3.0, 1.5  # latency over the engine's best
+PRESSURE, NEAR_BEST = 2.0, 1.5  # latency over the engine's best
 WARM_GROUPS = 4  # groups that an engine is taken to keep warm
 WARM_WORTH = 0.75  # work left to a command whose group is warm
 FAILURES = 3  # in a row, that set an engine aside
@@ -97,6 +97,7 @@
     number: int
     finish: float  # when it is thought to end
     stalled: bool = False
+    told: bool = False  # a note of progress told the finish
     outcome: Outcome | None = None
     doomed: bool = False  # cancelled by this gateway
     overlong: bool = False  # and for taking far longer than expected
@@ -116,6 +117,7 @@
     hint: int | None
     memory: float | None
     work: float
+    weight: float  # the usual work of its profile, never thought too small
     due: int
     ends_by: int
     tries: list[Try] = field(default_factory=list)
@@ -145,10 +147,12 @@
         self.best: float | None = None
         self.overdue = 0.0  # the pace that sends still out already show
         self.pressed = False
+        self.may = 0.0  # work that may still be sent while cold
         self.width = OPEN_WIDTH
         self.full_at: int | None = None
         self.heard = 0
         self.failures = 0
+        self.aside_at = 0
         self.aside_until: int | None = None
         self.credit = CREDIT_START
         self.pushed: Ring | None = None  # work sent while cold
@@ -197,7 +201,7 @@
         self.duties, self.allowed = event.duties, event.allowed
         self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
-        self.share = 1.0 / event.gateways
+        self.even = self.share = 1.0 / event.gateways
         self.own, self.all = Ring(4 * self.shortest), Ring(4 * self.shortest)
         self.probe_due, self.probed = 0.0, 0
         self.look_every = max(event.period, self.shortest // 20)
@@ -235,7 +239,7 @@
         due = min(int(self.now + profile.target + stretch), ends_by)
         key = event.key if profile.in_order else None
         cmd = Command(event.command, profile, usual, event.group, key, event.hint, event.memory_mb,
-                      work, due, ends_by)  # fmt: skip
+                      work, usual.work.mean(self.now, 2 * usual.guess, 4.0), due, ends_by)  # fmt: skip
         self.open[cmd.id] = self.waiting[cmd.id] = cmd
         if key is not None:
             self.turns.setdefault(key, deque()).append(cmd)
@@ -263,9 +267,8 @@
         if event.report and event.report.in_hand is not None:
             self.own.add(self.now, len(be.out))
             self.all.add(self.now, max(event.report.in_hand, len(be.out)))
-            even = 1.0 / self.given.gateways
             own, everyone = self.own.total(self.now)[0], self.all.total(self.now)[0]
-            self.share = max(even / 2, (own + 10 * even) / (everyone + 10))
+            self.share = max(self.even / 2, (own + 10 * self.even) / (everyone + 10))
 
     def _note(self, event: api.Noted) -> None:
         be = self.backends.get(event.engine)
@@ -275,7 +278,7 @@
         be.heard = self.now
         if event.note is Note.PROGRESS and event.amount > 0:
             age = self.now - a_try.at
-            a_try.finish = a_try.at + age / min(1.0, event.amount)
+            a_try.finish, a_try.told = a_try.at + age / min(1.0, event.amount), True
             if cmd.profile.loads and be.loads.get(cmd.group, (None, 0))[0] is cmd:
                 be.loads[cmd.group] = (cmd, a_try.finish)
         elif event.note is Note.WAITS_FOR_LOAD:
@@ -312,13 +315,14 @@
         if event.outcome is Outcome.ANSWERED:
             be.heard = self.now
             be.credit = min(CREDIT_MOST, be.credit + CREDIT_PER_ANSWER)
-            if be.failures >= FAILURES:  # it may have restarted before the list says so
+            if be.failures >= FAILURES and a_try.at >= be.aside_at:  # may have restarted, unlisted
                 be.cold_at, be.pushed = self.now, None
             be.failures, be.aside_until = 0, None
             cmd.usual.credit = min(CREDIT_MOST, cmd.usual.credit + CREDIT_PER_ANSWER / 4)
             if any(t.overlong and event.latency < (t.finish - t.at) / 2 for t in cmd.tries):
                 cmd.usual.credit = min(CREDIT_MOST, cmd.usual.credit + 2)
-            work = event.work or event.latency * cmd.profile.threads
+            crowding = max(1.0, be.pace / (be.best or 1.0))
+            work = event.work or event.latency * cmd.profile.threads / crowding
             if not a_try.stalled:
                 usual = work if event.work else cmd.work
                 pace = math.log(max(event.latency, 1) * cmd.profile.threads / max(usual, 1.0))
@@ -331,6 +335,7 @@
         elif not a_try.doomed and event.outcome is not Outcome.MOOT:
             be.failures += 1
             if be.failures >= FAILURES:
+                be.aside_at = self.now
                 be.aside_until = self.now + self.shortest * min(4, be.failures - FAILURES + 1)
 
     # Endings
@@ -404,21 +409,16 @@
                 return False
             if profile.scope is api.Scope.CELL and first.cell != entry.cell:
                 return False
-        return self._cold_room(cmd, be)
+        return cmd.weight <= be.may
 
-    def _cold_room(self, cmd: Command, be: Backend) -> bool:
+    def _cold_budget(self, be: Backend) -> float:
         """Guards a just started engine: this gateway's part of what pushes it over, in any window."""
         if be.cold_at is None or self.now >= be.cold_at + self.duties.warm_up:
-            return True
+            return math.inf
         if be.pushed is None:
             be.pushed = Ring(self.duties.overload_for)
-        may = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN
-        sent = be.pushed.total(self.now)[0]
-        return sent + self._weight(cmd) <= may * self.duties.overload_for * self.share
-
-    def _weight(self, cmd: Command) -> float:
-        """The usual work of the command's profile, never thought too small."""
-        return cmd.usual.work.mean(self.now, 2 * cmd.usual.guess, 4.0)
+        rate = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even
+        return rate * self.duties.overload_for - be.pushed.total(self.now)[0]
 
     def _open(self, be: Backend) -> bool:
         if be.entry.state is not State.READY:
@@ -436,7 +436,9 @@
         best = be.best or 1.0
         be.pace = max(math.exp(be.paces.mean(self.now, math.log(best))), be.overdue)
         refused = be.full_at is not None and self.now - be.full_at < self.shortest
-        be.pressed = refused or be.pace > PRESSURE * best
+        be.may = self._cold_budget(be)
+        crowded = be.threads >= OPEN_WIDTH * be.cores * self.share and be.pace > NEAR_BEST * best
+        be.pressed = refused or crowded or be.pace > PRESSURE * best
 
     def _added_stall(self, cmd: Command, be: Backend) -> float:
         """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
@@ -466,7 +468,7 @@
     def _place(self, cmd: Command, roomy: list[Backend]) -> tuple[float, float, float, Backend] | None:
         best: tuple[float, float, float, Backend] | None = None
         for be in roomy:
-            if not self._allowed_there(cmd, be) or not self._room(cmd, be):
+            if not self._room(cmd, be) or not self._allowed_there(cmd, be):
                 continue
             home = -be.warm[cmd.group] if cmd.group in be.warm else len(be.warm) + be.threads / be.cores
             option = (self._added_stall(cmd, be), self._cost(cmd, be), home, be)
@@ -526,7 +528,8 @@
         be.threads += cmd.profile.threads
         be.ran(cmd.group, self.now)
         if be.pushed is not None:
-            be.pushed.add(self.now, self._weight(cmd))
+            be.pushed.add(self.now, cmd.weight)
+            be.may -= cmd.weight
         if cmd.profile.loads:
             be.loads[cmd.group] = (cmd, a_try.finish)
         self._rank(cmd)
@@ -569,10 +572,11 @@
                 be.width = max(LEAST_WIDTH, be.width * 0.98)
 
     def _silent(self, be: Backend) -> bool:
-        """Sends are out, one is long overdue, and nothing at all was heard: neither pause nor slowness."""
+        """Overdue sends in a row and not a word: no pause, no slowness, no one bad plan."""
+        overdue = sum(self.now - t.at > PATIENCE * t.expected and not t.stalled for _, t in be.out.values())
         quiet = self.now - be.heard
-        return bool(be.out) and quiet > self.shortest and any(
-            self.now - a_try.at > PATIENCE * a_try.expected for _, a_try in be.out.values())
+        notes = self.given.note_every
+        return overdue >= (1 if notes else FAILURES) and quiet > max(self.shortest, 2 * notes)
 
     def _reconsider(self, cmd: Command) -> None:
         """Guards against silent engines, bad plans and engines far slower than the rest."""
@@ -581,7 +585,7 @@
             return
         if self._silent(be) and be.aside_until is None:
             be.failures = max(be.failures, FAILURES)
-            be.aside_until = self.now + self.shortest
+            be.aside_at, be.aside_until = self.now, self.now + self.shortest
         alone = cmd.work / cmd.profile.threads
         fresh = alone * max(self.calm, cmd.usual.pace(self.now))
         finish = a_try.finish if a_try.finish > self.now else 2 * self.now - a_try.at
@@ -589,8 +593,8 @@
         late = finish > max(cmd.due, self.now + 2 * fresh)
         if be.aside_until is not None:
             self._cancel(cmd, a_try)
-        elif overlong and late and not a_try.stalled and cmd.usual.credit >= 1:
-            cmd.usual.credit -= 1
+        elif overlong and late and not a_try.stalled and (a_try.told or cmd.usual.credit >= 1):
+            cmd.usual.credit -= 0 if a_try.told else 1
             a_try.overlong = True
             cmd.usual.paces.add(self.now, math.log((self.now - a_try.at) / alone))
             self._cancel(cmd, a_try)
