Bound every engine while any shows pressure: held work was poured on one engine at once

Up to 262 commands stood at one engine that had not answered yet. Also covers an engine just set free again. Harm: a healthy engine is held at two threads a core while another is slow.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -93,6 +93,7 @@
 
     be: Backend
     at: int
+    alone: float  # what its work would take on an idle engine
     expected: float
     number: int
     finish: float  # when it is thought to end
@@ -174,6 +175,7 @@
         self.turns: dict[int, deque[Command]] = {}
         self.rests: dict[int, int] = {}
         self.next_look: int | None = None
+        self.strained = False  # some engine shows pressure
         self.calm = 1.0  # the middle engine's pace
         self.reactions = {
             api.Started: self._start,
@@ -425,20 +427,23 @@
             return False
         if be.aside_until is not None and (be.out or self.now < be.aside_until):
             return False
-        return not be.pressed or not be.threads or be.threads + 1 <= be.cores * self.share * be.width
+        return self._fits(1, be)
 
-    def _room(self, cmd: Command, be: Backend) -> bool:
-        if not be.pressed or not be.threads:
+    def _fits(self, threads: int, be: Backend) -> bool:
+        """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
+        guards against all that they can't take being poured on it at once."""
+        if not be.threads or not (be.pressed or self.strained):
             return True
-        return be.threads + cmd.profile.threads <= be.cores * self.share * be.width
+        width = be.width if be.pressed else OPEN_WIDTH
+        return be.threads + threads <= be.cores * self.share * width
 
     def _gauge(self, be: Backend) -> None:
         best = be.best or 1.0
-        be.pace = max(math.exp(be.paces.mean(self.now, math.log(best))), be.overdue)
+        be.pace = math.exp(be.paces.mean(self.now, math.log(best)))
         refused = be.full_at is not None and self.now - be.full_at < self.shortest
         be.may = self._cold_budget(be)
         crowded = be.threads >= OPEN_WIDTH * be.cores * self.share and be.pace > NEAR_BEST * best
-        be.pressed = refused or crowded or be.pace > PRESSURE * best
+        be.pressed = refused or crowded or be.pace > PRESSURE * best or be.overdue > PRESSURE * max(1.0, best)
 
     def _added_stall(self, cmd: Command, be: Backend) -> float:
         """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
@@ -468,7 +473,7 @@
     def _place(self, cmd: Command, roomy: list[Backend]) -> tuple[float, float, float, Backend] | None:
         best: tuple[float, float, float, Backend] | None = None
         for be in roomy:
-            if not self._room(cmd, be) or not self._allowed_there(cmd, be):
+            if not self._fits(cmd.profile.threads, be) or not self._allowed_there(cmd, be):
                 continue
             home = -be.warm[cmd.group] if cmd.group in be.warm else len(be.warm) + be.threads / be.cores
             option = (self._added_stall(cmd, be), self._cost(cmd, be), home, be)
@@ -491,6 +496,7 @@
         ready = deque(sorted(held, key=lambda cmd: cmd.due))
         for be in self.backends.values():
             self._gauge(be)
+        self.strained = any(be.pressed for be in self.backends.values())
         paces = sorted(be.pace for be in self.backends.values())
         self.calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
         while ready and (roomy := [be for be in self.backends.values() if self._open(be)]):
@@ -519,8 +525,9 @@
             be.credit -= 1
         del self.waiting[cmd.id]
         stall = self._added_stall(cmd, be)
-        expected = cmd.work / cmd.profile.threads * max(1.0, be.pace)
-        a_try = Try(be, self.now, expected, len(cmd.tries), self.now + expected + stall, stall > 0)
+        alone = cmd.work / cmd.profile.threads
+        expected = alone * max(1.0, be.pace)
+        a_try = Try(be, self.now, alone, expected, len(cmd.tries), self.now + expected + stall, stall > 0)
         cmd.tries.append(a_try)
         if not be.out:
             be.heard = self.now
@@ -559,9 +566,9 @@
 
     def _adjust(self, be: Backend) -> None:
         # guards against an engine so crowded that it answers nothing, and so tells nothing
-        ages = sorted((self.now - a_try.at) * cmd.profile.threads / cmd.work
-                      for cmd, a_try in be.out.values() if not a_try.stalled)  # fmt: skip
-        be.overdue = ages[len(ages) // 2] if ages else 0.0
+        late = sum(min(2 * RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads
+                   for cmd, t in be.out.values() if not t.stalled)  # fmt: skip
+        be.overdue = late / max(1, be.threads)
         amount, count = be.paces.total(self.now)
         if count >= BUCKETS:
             pace = math.exp(amount / count)
