--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -25,7 +25,7 @@
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 PROBES_PER_COMMAND = 0.1  # at most, to learn this gateway's share of the engines
 PATIENCE = 3.0  # an engine with sends out is silent past this many expected latencies
-RUNAWAY = 3.0  # a send past this many expected latencies has a bad plan
+RUNAWAY = 5.0  # a send past this many expected latencies has a bad plan
 PROVES_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 MAY_STILL_RUN = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
 
