--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -545,7 +545,7 @@
     def _rank(self, cmd: Command) -> None:
         """Scarce cores go where the benefit per work is highest, and to loads, behind which others stand."""
         if cmd.rank < 0 and (self.allowed.priorities or self.allowed.grants):
-            cmd.rank = 3 if cmd.profile.loads or cmd.profile.threads == 1 else 1
+            cmd.rank = 3 if cmd.profile.loads else 2
             grant = 0.0
             self.actions.append(api.Resources(cmd.id, grant, cmd.rank))
 
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,177 @@
+"""Short stories, one for each rule and each failure met."""
+
+from conftest import MS, Host, S, engine
+
+from lotusstream import interface as api
+from lotusstream.interface import Outcome, State
+
+
+def test_a_group_stays_at_its_home(host: Host) -> None:
+    for _ in range(3):
+        host.end(host.take(group=4), Outcome.ANSWERED)
+    assert len({send.engine for send in host.sends()}) == 1
+
+
+def test_readers_go_around_a_running_load(host: Host) -> None:
+    load = host.take(profile=1, group=4)
+    reader = host.take(group=4)
+    assert host.sends(reader)[0].engine != host.sends(load)[0].engine
+
+
+def test_a_load_goes_where_it_stalls_no_readers(host: Host) -> None:
+    reader = host.take(group=4)
+    load = host.take(profile=1, group=4)
+    assert host.sends(load)[0].engine != host.sends(reader)[0].engine
+
+
+def test_of_held_commands_the_one_that_adds_no_stall_goes_first() -> None:
+    host = Host()
+    host.engines(engine(1))
+    host.take(profile=1, group=4)
+    host.engines(engine(1, state=State.DRAINING))
+    stalled, free = host.take(group=4), host.take(group=5)
+    host.engines(engine(1))
+    assert [send.command for send in host.sends()[1:]] == [free, stalled]
+
+
+def test_a_held_command_gets_one_answer_in_time() -> None:
+    host = Host()
+    command = host.take()
+    host.pass_time(7 * S)
+    assert host.finals(command) == [api.Shed(command, 500 * MS)]
+
+
+def test_a_silent_command_ends_before_its_client_leaves_and_is_not_sent_again(host: Host) -> None:
+    command = host.take(profile=2, key=9)
+    host.pass_time(25 * S)
+    assert host.finals(command) == [api.Fail(command)]
+    host.end(command, Outcome.TIMED_OUT)
+    assert len(host.sends(command)) == 1 and len(host.finals(command)) == 1
+
+
+def test_too_little_time_is_answered_at_once(host: Host) -> None:
+    command = host.take(timeout=20 * MS)
+    assert host.finals(command) and not host.sends(command)
+
+
+def test_a_command_whose_client_left_is_owed_nothing(host: Host) -> None:
+    command = host.take()
+    assert host.tell(api.ClientGone(command)) == [api.Cancel(command, 0)]
+    assert host.end(command, Outcome.CANCELLED) == [] and not host.finals(command)
+
+
+def test_a_non_replayable_command_that_may_have_run_fails(host: Host) -> None:
+    command = host.take(profile=2)
+    assert host.end(command, Outcome.RESET) == [api.Fail(command)]
+
+
+def test_a_non_replayable_command_turned_away_goes_elsewhere(host: Host) -> None:
+    command = host.take(profile=2)
+    host.end(command, Outcome.FULL)
+    assert len(host.sends(command)) == 2
+
+
+def test_a_uniqued_command_stays_in_its_zone_and_window() -> None:
+    host = Host()
+    host.engines(engine(1), engine(2, zone=1))
+    command = host.take(profile=3)
+    first = host.sends(command)[0].engine
+    host.end(command, Outcome.ERROR)
+    assert {send.engine for send in host.sends(command)} == {first}
+    host.pass_time(6 * S)
+    assert host.end(command, Outcome.ERROR)[-1] == api.Fail(command)
+
+
+def test_nothing_goes_to_a_draining_or_gone_engine(host: Host) -> None:
+    changes = api.ListKind.CHANGES
+    host.engines(engine(1, state=State.DRAINING), engine(2, state=State.GONE), kind=changes)
+    assert host.sends(host.take())[0].engine == engine(3).id
+
+
+def test_a_cold_engine_gets_only_its_budget() -> None:
+    host = Host()
+    host.now = 100 * S
+    host.engines(engine(1, started=99 * S))
+    for _ in range(50):
+        host.take()
+    sent = len(host.sends())
+    assert 0 < sent * 200 * MS <= 3 * 0.3 * 8 * S
+    host.pass_time(20 * S)
+    assert len(host.sends(host.take())) == 1
+
+
+def test_an_engine_that_answers_after_failures_is_cold() -> None:
+    host = Host()
+    host.engines(engine(1))
+    for _ in range(3):
+        host.end(host.take(profile=2, group=7), Outcome.RESET)
+    host.pass_time(2 * S)
+    trial = host.take()
+    second = host.take()
+    assert len(host.sends(trial)) == 1 and not host.sends(second)
+    host.end(trial, Outcome.ANSWERED)
+    for _ in range(40):
+        host.take()
+    assert len(host.sends()) < 30
+
+
+def test_commands_of_a_key_take_turns_and_the_key_rests(host: Host) -> None:
+    first, second = host.take(profile=2, key=5), host.take(profile=2, key=5)
+    assert not host.sends(second)
+    host.end(first, Outcome.TIMED_OUT)
+    host.pass_time(250 * MS)
+    assert not host.sends(second)
+    host.pass_time(150 * MS)
+    assert len(host.sends(second)) == 1
+
+
+def test_a_bound_command_waits_for_its_kind_and_ends_in_time(host: Host) -> None:
+    command = host.take(profile=4)
+    host.pass_time(6 * S)
+    assert not host.sends(command) and len(host.finals(command)) == 1
+
+
+def test_further_sends_keep_their_budget() -> None:
+    host = Host(extra_min=1, extra_ratio=0.0, extra_span=10 * S)
+    host.engines(engine(1), engine(2), engine(3))
+    for _ in range(3):
+        host.end(host.take(), Outcome.FULL, after=MS)
+    assert len(host.sends()) == 4
+
+
+def test_one_overdue_send_is_not_silence_but_several_are() -> None:
+    host = Host()
+    host.engines(engine(1))
+    lone = host.take(profile=1, group=4)
+    host.pass_time(2 * S)
+    assert api.Cancel(lone, 0) not in host.log
+    more = [host.take(profile=1, group=group) for group in (5, 6)]
+    host.pass_time(2 * S)
+    assert all(api.Cancel(command, 0) in host.log for command in (lone, *more))
+
+
+def test_a_bad_plan_told_by_a_note_is_stopped_and_sent_anew(host: Host) -> None:
+    command = host.take()
+    host.pass_time(400 * MS)
+    where = host.sends(command)[0].engine
+    host.tell(api.Noted(command, 0, where, api.Note.PROGRESS, 0.05))
+    assert api.Cancel(command, 0) in host.pass_time(100 * MS)
+    host.end(command, Outcome.CANCELLED, after=MS)
+    assert len(host.sends(command)) == 2
+
+
+def test_held_work_is_not_poured_on_one_engine(host: Host) -> None:
+    for _ in range(3):
+        host.end(host.take(group=4), Outcome.FULL, after=MS)
+    for _ in range(100):
+        host.take(group=4)
+    per_engine = [sum(send.engine == engine(name).id for send in host.sends()) for name in (1, 2, 3)]
+    assert max(per_engine) <= 2 * 8 + 3
+
+
+def test_another_gateways_load_is_learnt_from_a_note(host: Host) -> None:
+    host.end(host.take(group=4), Outcome.ANSWERED)
+    reader = host.take(group=4)
+    where = host.sends(reader)[0].engine
+    host.tell(api.Noted(reader, 0, where, api.Note.WAITS_FOR_LOAD, 2.0))
+    assert host.sends(host.take(group=4))[0].engine != where
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,87 @@
+"""The codec and the host against hand-made frames."""
+
+import io
+import json
+import struct
+
+import pytest
+
+from lotusstream.drill import wire
+from lotusstream.drill.__main__ import Host as Drill
+from lotusstream.drill.__main__ import serve
+from lotusstream.policy import Gateway
+
+ENGINE = bytes.fromhex("0a124a07431f")
+ORDER = bytes.fromhex(
+    "0403000000c4913a5d6282020000e02e0000010000c04380a9030000003041640ad2557c3bf09100000000"
+)
+SETTINGS = json.dumps({"new": 1, "request_classes": [
+    {"aim": 10**6, "deadline": 5 * 10**6, "effect": "repeatable"}]}).encode()  # fmt: skip
+INIT = b"\x0a" + struct.pack("<IQII", 3, 7, 25, len(SETTINGS))
+ENTRY = struct.pack("<HBQ6sfHH", 0, 2, 0, ENGINE, 1.0, 0, 0)
+INVENTORY = b"\x06" + struct.pack("<BII", 0, 0, 1)
+VIEW = b"\x09" + struct.pack("<IIBB", 3, 41, 2, 0)
+
+
+def frame(*records: bytes, tail: bytes = b"", number: int = 12) -> bytes:
+    body = b"".join(record.ljust(56, b"\0") for record in records) + tail
+    return struct.pack("<IQII", number, 8_412_250, 4 + len(body), len(records)) + body
+
+
+def codes(reply: bytes) -> list[int]:
+    count = struct.unpack_from("<III", reply)[1]
+    return [reply[12 + 24 * at] for at in range(count)]
+
+
+def play(*frames: bytes) -> tuple[int, list[list[int]], list[str]]:
+    output, complaints = io.BytesIO(), []
+    status = serve(io.BytesIO(b"".join(frames)), output, complaints.append)
+    data, replies = output.getvalue(), []
+    while data:
+        size = 12 + struct.unpack_from("<III", data)[2]
+        replies.append(codes(data[:size]))
+        data = data[size:]
+    return status, replies, complaints
+
+
+def test_an_empty_batch_gets_an_empty_reply() -> None:
+    output = io.BytesIO()
+    assert serve(io.BytesIO(frame(number=1)), output, print) == 0
+    assert output.getvalue() == struct.pack("<III", 1, 0, 0)
+
+
+def test_an_order_is_sent_in_the_batch_that_brings_it() -> None:
+    _, replies, _ = play(frame(INIT, INVENTORY, VIEW, ORDER, tail=ENTRY + SETTINGS))
+    assert 70 in replies[0]
+
+
+def test_a_stop_and_a_fresh_start_in_one_batch_leave_nothing_of_the_old() -> None:
+    first = frame(INIT, INVENTORY, VIEW, ORDER, tail=ENTRY + SETTINGS)
+    again = frame(ORDER, b"\x0b\x03\0\0\0", INIT, INVENTORY, VIEW, tail=ENTRY + SETTINGS)
+    _, replies, _ = play(first, again)
+    assert replies[1] == [74]
+
+
+def test_a_list_number_means_the_list_given_last_before_its_use() -> None:
+    other = struct.pack("<HBQ6sfHH", 0, 0, 0, ENGINE, 1.0, 0, 0)
+    later = b"\x06" + struct.pack("<BII", 0, 25 + len(SETTINGS), 1)
+    _, replies, _ = play(frame(INIT, INVENTORY, VIEW, later, ORDER, tail=ENTRY + SETTINGS + other))
+    assert 70 in replies[0]
+
+
+@pytest.mark.parametrize("data", [frame(ORDER)[:-5], frame(b"\x63"), frame(ORDER)])
+def test_malformed_input_is_told_and_ends_the_host(data: bytes) -> None:
+    status, _, complaints = play(data)
+    assert status == 1 and "malformed input" in complaints[0]
+
+
+def test_an_exception_is_reported_with_its_text(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(*_: object) -> None:
+        raise IndexError("out of range")
+
+    monkeypatch.setattr(Gateway, "handle", broken)
+    output = io.BytesIO()
+    batch = wire.read_batch(io.BytesIO(frame(INIT, tail=ENTRY + SETTINGS)))
+    assert batch is not None
+    Drill().answer(batch, output)
+    assert codes(output.getvalue()) == [76] and b"out of range" in output.getvalue()
