Wide commands fit once per slice; what cannot meet its target at the fleet's pace is shed

Cause: a slice of cores x share below a command's threads was never empty of small commands, so reports and loads starved; and held commands were judged by an idle engine's speed, so they were sent to end late. Also covers any gateway with a thin share; could harm where every gateway sends its one wide command to the same engine.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -14,8 +14,7 @@
 from lotusstream import interface as api
 from lotusstream.interface import Effect, ListKind, Note, Outcome, State
 
-SAMPLE = 5  # k of SMF: how many earliest-due held commands are compared
-BUCKETS = 8  # a ring's whole buckets
+SAMPLE, BUCKETS = 5, 8  # k of SMF: earliest-due held commands compared; a ring's whole buckets
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
 PRESSURE, NEAR_BEST = 2.0, 1.5  # latency over the engine's best
 WARM_GROUPS, WARM_WORTH = 4, 0.75  # groups that an engine keeps warm; work left to their commands
@@ -178,7 +177,7 @@
         self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
         self.even = self.share = 1.0 / event.gateways
-        self.own, self.all = Ring(4 * self.shortest), Ring(4 * self.shortest)
+        self.in_hand = Ring(4 * self.shortest)  # own, and everyone's
         self.unprobed, self.probed = 0, 0
         self.look_every = max(event.period, self.shortest // 20)
         self.taken, self.extras = Ring(self.duties.extra_span), Ring(self.duties.extra_span)
@@ -212,8 +211,8 @@
     def _take(self, event: api.Arrived) -> None:
         profile, usual = self.given.profiles[event.profile], self.usual[event.profile]
         work = usual.estimate(self.now, event.hint)
-        stretch = profile.stretch * work / profile.threads if event.hint else 0.0
         ends_by = self.now + event.client_timeout
+        stretch = profile.stretch * work / profile.threads if event.hint else 0.0  # most lie under the mean
         due = min(int(self.now + profile.target + stretch), ends_by)
         key = event.key if profile.in_order else None
         cmd = Command(event.command, profile, usual, event.group, key, event.hint, work,
@@ -235,12 +234,9 @@
             self.next_look = None
 
     def _probed(self, event: api.Probed) -> None:
-        if (be := self.backends.get(event.engine)) and event.outcome is Outcome.ANSWERED:
-            be.heard = self.now
-        if be and event.report and event.report.in_hand is not None:
-            self.own.add(self.now, len(be.out))
-            self.all.add(self.now, max(event.report.in_hand, len(be.out)))
-            own, everyone = self.own.total(self.now)[0], self.all.total(self.now)[0]
+        if (be := self.backends.get(event.engine)) and event.report and event.report.in_hand is not None:
+            self.in_hand.add(self.now, len(be.out), max(event.report.in_hand, len(be.out)))
+            own, everyone = self.in_hand.total(self.now)
             self.share = max(self.even / 2, (own + 10 * self.even) / (everyone + 10))
 
     def _note(self, event: api.Noted) -> None:
@@ -382,8 +378,14 @@
         guards against all that they can't take being poured on it at once."""
         if not be.threads or not (be.pressed or self.strained):
             return True
-        width = be.width if be.pressed else OPEN_WIDTH
-        return be.threads + threads <= be.cores * self.share * width
+        if threads <= (bound := self._bound(be)):
+            return be.threads + threads <= bound
+        # one too wide for any slice: small ones that never leave the slice empty must not starve it
+        wide = any(cmd.profile.threads >= threads for cmd, _ in be.out.values())
+        return not wide and threads <= sum(self._bound(other) - other.threads for other in self.ready)
+
+    def _bound(self, be: Backend) -> float:
+        return be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
 
     def _gauge(self, be: Backend) -> None:
         best = be.best if be.best < math.inf else 1.0
@@ -494,7 +496,7 @@
         for be in self.backends.values():
             self._adjust(be)
         for cmd in list(self.open.values()):
-            fresh = cmd.work / cmd.profile.threads
+            fresh = cmd.work / cmd.profile.threads * (self.calm if self.strained else 1.0)
             useful = cmd.due if self.strained else cmd.ends_by  # late answers pay where there is room
             hopeless = cmd.id in self.waiting and self.now + fresh > useful
             if hopeless or self.now + 2 * self.look_every >= cmd.ends_by:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -185,3 +185,24 @@
     command = host.take(hint=10 * MS)
     host.pass_time(50 * MS)
     assert api.Cancel(command, 0) not in host.log
+
+
+def test_small_commands_do_not_starve_one_too_wide_for_the_slice() -> None:
+    host = Host(gateways=9)
+    host.engines(engine(1), engine(2), engine(3))
+    host.end(host.take(), Outcome.FULL, after=MS)
+    for _ in range(2):
+        host.take()
+    wide, second = host.take(profile=1, group=6), host.take(profile=1, group=6)
+    assert host.sends(wide) and not host.sends(second)
+
+
+def test_under_pressure_what_cannot_meet_its_target_is_shed_at_once() -> None:
+    host = Host()
+    host.engines(engine(1))
+    for _ in range(20):
+        host.take(hint=900 * MS)
+    host.end(101, Outcome.FULL, after=MS)
+    held = host.take(hint=900 * MS)
+    host.pass_time(600 * MS)
+    assert host.finals(held) == [api.Shed(held, 500 * MS)] and not host.sends(held)
