--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -369,10 +369,6 @@
         rate = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even
         return rate * self.duties.overload_for - be.pushed.total(self.now)[0]
 
-    def _open(self, be: Backend) -> bool:
-        aside = be.aside_until is not None and (be.out or self.now < be.aside_until)
-        return not aside and self._fits(1, be)
-
     def _fits(self, threads: int, be: Backend) -> bool:
         """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
         guards against all that they can't take being poured on it at once."""
@@ -446,7 +442,9 @@
         self.strained = any(be.pressed for be in self.ready)
         paces = sorted(be.pace for be in self.ready)
         self.calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
-        while ready and (roomy := [be for be in self.ready if self._open(be)]):
+        while ready:
+            roomy = [be for be in self.ready if be.aside_until is None or
+                     (not be.out and self.now >= be.aside_until)]  # fmt: skip
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
