Wide commands count only their like against a slice while the fleet has room

Cause: one-thread commands took each thread as it fell free, so four-thread reports waited until they were hopeless. Folds the exception for thin slices into one.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -374,11 +374,13 @@
         guards against all that they can't take being poured on it at once."""
         if not be.threads or not (be.pressed or self.strained):
             return True
-        if threads <= (bound := self._bound(be)):
+        bound = self._bound(be)
+        if threads == 1 or be.threads + threads <= bound:
             return be.threads + threads <= bound
-        # one too wide for any slice: small ones that never leave the slice empty must not starve it
-        wide = any(cmd.profile.threads >= threads for cmd, _ in be.out.values())
-        return not wide and threads <= sum(self._bound(other) - other.threads for other in self.ready)
+        # guards wide commands against small ones that take each thread as it falls free
+        alike = sum(cmd.profile.threads for cmd, _ in be.out.values() if cmd.profile.threads >= threads)
+        whole = sum(self._bound(other) - other.threads for other in self.ready)
+        return whole >= 1 and alike + threads <= max(bound, threads)
 
     def _bound(self, be: Backend) -> float:
         return be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
@@ -424,8 +426,6 @@
                 best = option
         return best
 
-    # The moment's end
-
     def _settle(self, _event: api.Settled) -> None:
         self._release()
         if self.next_look is None:
