--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -156,7 +156,7 @@
         self.turns: dict[int, deque[Command]] = {}
         self.rests: dict[int, int] = {}
         self.next_look: int | None = None
-        self.strained, self.calm = False, 1.0  # some engine shows pressure; the middle engine's pace
+        self.strained, self.calm, self.room = False, 1.0, 0.0  # an engine is pressed; the middle pace
         self.reactions = {
             api.Started: self._start, api.EngineNews: self._learn_engines, api.Arrived: self._take,
             api.Ended: self._end_try, api.Noted: self._note, api.Settled: self._settle,
@@ -379,8 +379,7 @@
             return be.threads + threads <= bound
         # guards wide commands against small ones that take each thread as it falls free
         alike = sum(cmd.profile.threads for cmd, _ in be.out.values() if cmd.profile.threads >= threads)
-        whole = sum(self._bound(other) - other.threads for other in self.ready)
-        return whole >= 1 and alike + threads <= max(bound, threads)
+        return self.room >= 1 and alike + threads <= max(bound, threads)
 
     def _bound(self, be: Backend) -> float:
         return be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
@@ -442,7 +441,8 @@
         self.strained = any(be.pressed for be in self.ready)
         paces = sorted(be.pace for be in self.ready)
         self.calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
-        while ready:
+        self.room = sum(self._bound(be) - be.threads for be in self.ready)  # of all slices together
+        while ready and (self.room >= 1 or any(self._fits(1, be) for be in self.ready)):
             roomy = [be for be in self.ready if be.aside_until is None or
                      (not be.out and self.now >= be.aside_until)]  # fmt: skip
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
@@ -475,7 +475,7 @@
         if not be.out:
             be.heard = self.now
         be.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
-        be.threads += cmd.profile.threads
+        be.threads, self.room = be.threads + cmd.profile.threads, self.room - cmd.profile.threads
         be.ran(cmd.group, self.now)
         if be.pushed is not None:
             be.pushed.add(self.now, cmd.weight)
