--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -290,8 +290,8 @@
             crowding = max(1.0, be.pace / be.best)
             work = event.work or event.latency * cmd.profile.threads / crowding
             if not a_try.stalled:
-                usual = work if event.work else cmd.work
-                pace = math.log(max(event.latency, 1) * cmd.profile.threads / max(usual, 1.0))
+                alone = max(1.0, event.work or cmd.work) / cmd.profile.threads
+                pace = math.log(max(event.latency, 1) / alone)
                 be.paces.add(self.now, pace)
                 cmd.usual.paces.add(self.now, pace)
             if event.work or not a_try.stalled:
@@ -434,28 +434,30 @@
 
     def _release(self) -> None:
         """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
-        held = (cmd for cmd in self.waiting.values() if self._has_turn(cmd))
-        ready = deque(sorted(held, key=lambda cmd: cmd.due))
+        ready = deque(sorted(filter(self._has_turn, self.waiting.values()), key=lambda cmd: cmd.due))
         for be in self.ready:
             self._gauge(be)
         self.strained = any(be.pressed for be in self.ready)
-        paces = sorted(be.pace for be in self.ready)
-        self.calm = max(1.0, paces[len(paces) // 2]) if paces else 1.0
+        paces = [1.0, *sorted(be.pace for be in self.ready)]
+        self.calm = max(1.0, paces[(len(paces) + 1) // 2 if self.ready else 0])
         self.room = sum(self._bound(be) - be.threads for be in self.ready)  # of all slices together
-        while ready and (self.room >= 1 or any(self._fits(1, be) for be in self.ready)):
+        stuck: set[Usual] = set()  # profiles with no place left; within a release none comes free
+        while ready:
             roomy = [be for be in self.ready if be.aside_until is None or
                      (not be.out and self.now >= be.aside_until)]  # fmt: skip
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
-                if (place := self._place(cmd, roomy)) and (picked is None or place[0] < picked[0]):
+                place = self._place(cmd, roomy) if cmd.tries or cmd.usual not in stuck else None
+                if place is None and not cmd.tries:
+                    stuck.add(cmd.usual)
+                elif place and (picked is None or place[0] < picked[0]):
                     picked = (place[0], at, place[3])
-                    if not place[0]:
-                        break
-            if picked is None:
-                continue  # held; later ones may still have room elsewhere
-            self._send(sample.pop(picked[1]), picked[2])
-            ready.extendleft(reversed(sample))
+                if picked and not picked[0]:
+                    break
+            if picked:  # otherwise held; later ones may still have room elsewhere
+                self._send(sample.pop(picked[1]), picked[2])
+                ready.extendleft(reversed(sample))
 
     def _has_turn(self, cmd: Command) -> bool:
         key = cmd.key
@@ -507,9 +509,8 @@
         late = sum(min(2 * RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads
                    for cmd, t in be.out.values() if not t.stalled)  # fmt: skip
         be.overdue = late / max(1, be.threads)
-        amount, count = be.paces.total(self.now)
-        if count >= BUCKETS:
-            pace = math.exp(amount / count)
+        if be.paces.total(self.now)[1] >= BUCKETS:
+            pace = math.exp(be.paces.mean(self.now, 0.0, 0.0))
             be.best = min(pace, be.best * 1.001)
             if pace < NEAR_BEST * be.best:
                 be.width = min(OPEN_WIDTH, be.width * 1.02)
@@ -519,9 +520,8 @@
     def _silent(self, be: Backend) -> bool:
         """Overdue sends in a row and not a word: no pause, no slowness, no one bad plan."""
         overdue = sum(self.now - t.at > PATIENCE * t.expected and not t.stalled for _, t in be.out.values())
-        quiet = self.now - be.heard
         needed = 1 if self.given.note_every else FAILURES
-        return overdue >= needed and quiet > max(self.shortest, 2 * self.given.note_every)
+        return overdue >= needed and self.now - be.heard > max(self.shortest, 2 * self.given.note_every)
 
     def _reconsider(self, cmd: Command) -> None:
         """Guards against silent engines, bad plans and engines far slower than the rest."""
