--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -509,6 +509,9 @@
         late = sum(min(2 * RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads
                    for cmd, t in be.out.values() if not t.stalled)  # fmt: skip
         be.overdue = late / max(1, be.threads)
+        if be.aside_until is None and self._silent(be):
+            be.failures = max(be.failures, FAILURES)
+            be.aside_at, be.aside_until = self.now, self.now + self.shortest
         if be.paces.total(self.now)[1] >= BUCKETS:
             pace = math.exp(be.paces.mean(self.now, 0.0, 0.0))
             be.best = min(pace, be.best * 1.001)
@@ -528,9 +531,6 @@
         a_try, be = cmd.out[-1], cmd.out[-1].be
         if a_try.doomed or not (self.allowed.cancelling and self._may_send_again(cmd)):
             return
-        if be.aside_until is None and self._silent(be):
-            be.failures = max(be.failures, FAILURES)
-            be.aside_at, be.aside_until = self.now, self.now + self.shortest
         alone = cmd.work / cmd.profile.threads
         fresh = alone * max(self.calm, cmd.usual.pace(self.now))
         finish = a_try.finish if a_try.told and a_try.finish > self.now else 2 * self.now - a_try.at
