Fleets of 250 gateways: work follows what changed, agreed homes, pooled thin slices

Slices thinner than a command are one pool. Cold budgets thinner than a command are saved up from a level drawn by chance.

--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -42,6 +42,10 @@
     RESET = 598
 
 
+PROVES_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+MAY_STILL_RUN = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
+
+
 class ListKind(Enum):
     CHANGES = "changes"
     FULL = "full"
@@ -73,6 +77,15 @@
     waits: bool
     threads: int
 
+    @property
+    def bound(self) -> bool:
+        return self.zones is not None or self.kinds is not None
+
+    def open_to(self, engine: Engine) -> bool:
+        return (self.zones is None or engine.zone in self.zones) and (
+            self.kinds is None or engine.kind in self.kinds
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Allowed:
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -8,50 +8,24 @@
 from __future__ import annotations
 
 import math
-from collections import deque
-from dataclasses import dataclass, field, replace
+import zlib
+from collections import Counter, deque
+from dataclasses import replace
 
 from lotusstream import interface as api
 from lotusstream.interface import Effect, ListKind, Note, Outcome, State
+from lotusstream.state import Backend, Command, Ring, Try
 
-SAMPLE, BUCKETS = 5, 8  # k of SMF: earliest-due held commands compared; a ring's whole buckets
+SAMPLE, BUCKETS, ENOUGH = 5, 16, 16  # k of SMF; a ring's whole buckets; answers that tell a pace
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
-PRESSURE, NEAR_BEST = 2.0, 1.5  # latency over the engine's best
+PRESSURE, NEAR_BEST, STRAINED = 2.0, 1.5, 0.1  # latency over the best; cores pressed that bound all
 WARM_GROUPS, WARM_WORTH = 4, 0.75  # groups that an engine keeps warm; work left to their commands
-FAILURES = 3  # in a row, that set an engine aside
+FAILURES, HIGHEST = 3, 3  # in a row, that set an engine aside; the highest priority
 CREDIT_START, CREDIT_MOST, CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
-PROVES_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
-HIGHEST = 3  # priority
-MAY_STILL_RUN = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
-
-
-class Ring:
-    """Sums over the last `span`, in fixed buckets of time that are used again."""
-
-    def __init__(self, span: int) -> None:
-        self.width = max(1, span // BUCKETS)
-        self.slots = [[-1, 0.0, 0.0] for _ in range(BUCKETS + 1)]
-
-    def add(self, now: int, amount: float, count: float = 1.0) -> None:
-        at = now // self.width
-        slot = self.slots[at % len(self.slots)]
-        if slot[0] != at:
-            slot[:] = [at, 0.0, 0.0]
-        slot[1] += amount
-        slot[2] += count
-
-    def total(self, now: int, *, covering: bool = True) -> tuple[float, float]:
-        """Amount and count; `covering` takes in at least the span, otherwise at most."""
-        oldest = now // self.width - BUCKETS + (0 if covering else 1)
-        kept = [slot for slot in self.slots if slot[0] >= oldest]
-        return sum(slot[1] for slot in kept), sum(slot[2] for slot in kept)
-
-    def mean(self, now: int, prior: float, weight: float = 1.0) -> float:
-        amount, count = self.total(now)
-        return (amount + prior * weight) / (count + weight)
+SPREAD = 2.0  # homes of a group: its share of the commands, in engines, times this
 
 
 class Usual:
@@ -59,91 +33,24 @@
 
     def __init__(self, profile: api.Profile) -> None:
         self.guess = profile.target * profile.threads / 2.0
-        self.work = Ring(4 * profile.client_timeout)
-        self.hints = Ring(4 * profile.client_timeout)
-        self.paces = Ring(4 * profile.client_timeout)  # logarithms
-        self.credit = CREDIT_START  # earned by sends anew that were far faster than the one given up
+        span = 4 * profile.client_timeout
+        self.work, self.hints, self.asked, self.paces = (Ring(span, BUCKETS) for _ in range(4))
 
-    def pace(self, now: int) -> float:
-        """Usual latency over what the work would take alone."""
-        return max(1.0, math.exp(self.paces.mean(now, 0.0)))
+    def mean(self, now: int) -> float:
+        return self.work.mean(now, self.guess, 1.0)
 
     def learn(self, now: int, work: float, hint: int | None) -> None:
-        usual = self.work.mean(now, self.guess)
+        usual = self.mean(now)
         self.work.add(now, min(work, 4 * usual))  # a bad plan says little of the usual
         if hint:
             self.hints.add(now, hint * min(1.0, 4 * usual / max(work, 1.0)))
 
     def estimate(self, now: int, hint: int | None) -> float:
-        usual = self.work.mean(now, self.guess)
+        """Hints scatter widely and works too: the middle of both, as ratios."""
         hints, count = self.hints.total(now)
-        return hint * usual * (count + 1) / (hints + hint) if hint and count else float(hint or usual)
-
-
-@dataclass(slots=True, eq=False)
-class Try:
-    """One send of a command."""
-
-    be: Backend
-    at: int
-    alone: float  # what its work would take on an idle engine
-    expected: float
-    number: int
-    finish: float  # when it is thought to end
-    stalled: bool = False
-    told: bool = False  # a note of progress told the finish
-    outcome: Outcome | None = None
-    doomed: bool = False  # cancelled by this gateway
-    overlong: bool = False  # and for taking far longer than expected
-
-
-@dataclass(slots=True, eq=False)
-class Command:
-    id: int
-    profile: api.Profile
-    usual: Usual
-    group: int
-    key: int | None
-    hint: int | None
-    work: float
-    weight: float  # the usual work of its profile, never thought too small
-    due: int
-    ends_by: int
-    tries: list[Try] = field(default_factory=list)
-
-    @property
-    def out(self) -> list[Try]:
-        return [a_try for a_try in self.tries if a_try.outcome is None]
-
-    @property
-    def ran(self) -> list[Try]:
-        return [a_try for a_try in self.tries if a_try.outcome not in PROVES_NOT_RUN]
-
-
-class Backend:
-    """An engine as this gateway sees it."""
-
-    def __init__(self, entry: api.Engine, cores: float, span: int) -> None:
-        self.entry, self.cores = entry, cores
-        self.cold_at: int | None = entry.started or None
-        self.threads, self.out = 0, dict[int, tuple[Command, Try]]()  # by command and send
-        self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
-        self.warm: dict[int, int] = {}  # groups last run here, oldest first
-        self.paces = Ring(span)
-        self.pace, self.best = 1.0, math.inf  # recent latency over what the work would take alone
-        self.overdue, self.pressed = 0.0, False  # the pace that sends still out already show
-        self.may = 0.0  # work that may still be sent while cold
-        self.width = OPEN_WIDTH
-        self.full_at: int | None = None
-        self.heard, self.failures, self.aside_at, self.credit = 0, 0, 0, CREDIT_START
-        self.aside_until: int | None = None
-        self.pushed: Ring | None = None  # work sent while cold
-
-    def ran(self, group: int, now: int) -> None:
-        self.warm.pop(group, None)
-        self.warm[group] = now
-        if len(self.warm) > WARM_GROUPS:
-            del self.warm[next(iter(self.warm))]
+        if not hint or not count:
+            return float(hint or self.mean(now))
+        return self.mean(now) * math.sqrt(hint * (count + 1) / (hints + hint))
 
 
 class Gateway:
@@ -155,8 +62,13 @@
         self.waiting: dict[int, Command] = {}
         self.turns: dict[int, deque[Command]] = {}
         self.rests: dict[int, int] = {}
-        self.next_look: int | None = None
-        self.strained, self.calm, self.room = False, 1.0, 0.0  # an engine is pressed; the middle pace
+        self.look_at: int | None = None  # when time alone may change something
+        self.woken_for: int | None = None
+        self.out = 0  # threads of this gateway on all engines
+        self.strained, self.calm, self.best, self.room = False, 1.0, math.inf, 0.0
+        self.homes: dict[object, list[Backend]] = {}
+        self.groups, self.earlier, self.epoch = Counter[int](), Counter[int](), 0  # commands per group
+        self.draws, self.looked_at = 0, 0
         self.reactions = {
             api.Started: self._start, api.EngineNews: self._learn_engines, api.Arrived: self._take,
             api.Ended: self._end_try, api.Noted: self._note, api.Settled: self._settle,
@@ -169,18 +81,26 @@
         self.reactions[type(event)](event)  # type: ignore[operator]
         return self.actions
 
+    def _lot(self) -> int:
+        self.draws += 1
+        return zlib.crc32(self.draws.to_bytes(8, "little"), self.seed)
+
+    def _chance(self) -> float:
+        return self._lot() / 2**32
+
     # What is told
 
     def _start(self, event: api.Started) -> None:
-        self.given = event
-        self.duties, self.allowed = event.duties, event.allowed
+        self.seed = zlib.crc32(event.seed.to_bytes(8, "little"))
+        self.given, self.duties, self.allowed = event, event.duties, event.allowed
         self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
         self.even = self.share = 1.0 / event.gateways
-        self.in_hand = Ring(4 * self.shortest)  # own, and everyone's
-        self.unprobed, self.probed = 0, 0
+        self.in_hand = Ring(4 * self.shortest, BUCKETS)  # own, and everyone's
+        self.paces = Ring(8 * self.shortest, BUCKETS)  # of all engines
+        self.unprobed, self.probed = 0, int(self._chance() * PROBE_EVERY)
         self.look_every = max(event.period, self.shortest // 20)
-        self.taken, self.extras = Ring(self.duties.extra_span), Ring(self.duties.extra_span)
+        self.taken, self.extras = (Ring(self.duties.extra_span, BUCKETS) for _ in range(2))
         if self.allowed.must_subscribe:
             self.actions.append(api.Subscribe(True))
 
@@ -190,14 +110,14 @@
             return
         if event.kind is not ListKind.CHANGES:
             listed = {entry.id for entry in event.engines}
-            for be in self.backends.values():
-                if be.entry.id not in listed:
-                    be.entry = replace(be.entry, state=State.GONE)
+            for be in [be for be in self.backends.values() if be.entry.id not in listed]:
+                be.entry = replace(be.entry, state=State.GONE)
         for entry in event.engines:
             known = self.backends.get(entry.id)
             if known is None or (known.entry.started != entry.started and entry.state is not State.GONE):
                 cores = self.given.kinds[entry.kind].cores if entry.kind < len(self.given.kinds) else 1.0
-                fresh = Backend(entry, cores, 2 * self.shortest)
+                fresh = Backend(entry, cores, Ring(8 * self.shortest, BUCKETS), OPEN_WIDTH, CREDIT_START)
+                fresh.chill(entry.started or None, self.now, self._chance())
                 if known is not None:
                     fresh.out, fresh.threads = known.out, known.threads
                 self.backends[entry.id] = fresh
@@ -207,6 +127,7 @@
         self.backends = {engine: be for engine, be in self.backends.items()
                          if be.out or be.entry.state is not State.GONE}  # fmt: skip
         self.ready = [be for be in self.backends.values() if be.entry.state is State.READY]
+        self._share_out()
 
     def _take(self, event: api.Arrived) -> None:
         profile, usual = self.given.profiles[event.profile], self.usual[event.profile]
@@ -215,13 +136,22 @@
         stretch = profile.stretch * work / profile.threads if event.hint else 0.0  # most lie under the mean
         due = min(int(self.now + profile.target + stretch), ends_by)
         key = event.key if profile.in_order else None
-        cmd = Command(event.command, profile, usual, event.group, key, event.hint, work,
-                      usual.work.mean(self.now, 2 * usual.guess, 4.0), due, ends_by)  # fmt: skip
-        self.open[cmd.id] = self.waiting[cmd.id] = cmd
+        weight = usual.work.mean(self.now, 2 * usual.guess, 4.0)
+        cmd = self.open[event.command] = self.waiting[event.command] = Command(
+            event.command, event.profile, profile, event.group, key, event.hint, work, weight,
+            due, ends_by, self._lot())  # fmt: skip
         if key is not None:
             self.turns.setdefault(key, deque()).append(cmd)
         self.taken.add(self.now, 0.0)
+        usual.asked.add(self.now, work)
+        if self.now // (16 * self.shortest) != self.epoch:
+            self.epoch, self.earlier, self.groups = self.now // (16 * self.shortest), self.groups, Counter()
+            self._share_out()
+        self.groups[cmd.group] += 1
         self.unprobed += 1
+        if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand and self.ready:
+            self.unprobed, self.probed = 0, self.probed + 1
+            self.actions.append(api.Probe(self.ready[self.probed % len(self.ready)].entry.id))
         if event.client_timeout <= 2 * self.look_every:  # nothing can be done in what is left
             self._give_up(cmd)
 
@@ -230,12 +160,13 @@
             self._forget(cmd)
 
     def _woken(self, event: api.Woken) -> None:
-        if event.token == self.next_look:
-            self.next_look = None
+        if event.token == self.woken_for:
+            self.woken_for = None
 
     def _probed(self, event: api.Probed) -> None:
-        if (be := self.backends.get(event.engine)) and event.report and event.report.in_hand is not None:
-            self.in_hand.add(self.now, len(be.out), max(event.report.in_hand, len(be.out)))
+        if event.engine in self.backends and event.report and event.report.in_hand is not None:
+            own = sum(len(be.out) for be in self.ready) / max(1, len(self.ready))
+            self.in_hand.add(self.now, own, max(event.report.in_hand, own))
             own, everyone = self.in_hand.total(self.now)
             self.share = max(self.even / 2, (own + 10 * self.even) / (everyone + 10))
 
@@ -250,6 +181,7 @@
             a_try.finish, a_try.told = a_try.at + age / min(1.0, event.amount), True
             if cmd.profile.loads and be.loads.get(cmd.group, (None, 0))[0] is cmd:
                 be.loads[cmd.group] = (cmd, a_try.finish)
+            self._plan(self.now)
         elif event.note is Note.WAITS_FOR_LOAD:
             a_try.stalled = True
             be.loads.setdefault(cmd.group, (None, self.now + self.shortest))  # another gateway's load
@@ -259,12 +191,13 @@
         held = be.out.pop(event.command << 8 | event.send, None) if be else None
         if be and held:
             be.threads -= held[0].profile.threads
+            self.out -= held[0].profile.threads
             self._judge(be, *held, event)
         cmd = held[0] if held else self.open.get(event.command)
         if cmd is None or event.send >= len(cmd.tries):
             return
         cmd.tries[event.send].outcome = event.outcome
-        if cmd.key is not None and event.outcome in MAY_STILL_RUN:
+        if cmd.key is not None and event.outcome in api.MAY_STILL_RUN:
             self.rests[cmd.key] = self.now + self.duties.key_rest
         if cmd.id not in self.open:
             self._pass_turn(cmd)
@@ -283,26 +216,32 @@
             be.heard = self.now
             be.credit = min(CREDIT_MOST, be.credit + CREDIT_PER_ANSWER)
             if be.failures >= FAILURES and a_try.at >= be.aside_at:  # may have restarted, unlisted
-                be.cold_at, be.pushed = self.now, None
+                be.chill(self.now, self.now, self._chance())
             be.failures, be.aside_until = 0, None
-            helped = any(t.overlong and event.latency < (t.finish - t.at) / 2 for t in cmd.tries)
-            cmd.usual.credit = min(CREDIT_MOST, cmd.usual.credit + (2 if helped else CREDIT_PER_ANSWER / 4))
-            crowding = max(1.0, be.pace / be.best)
-            work = event.work or event.latency * cmd.profile.threads / crowding
+            work = event.work or event.latency * cmd.profile.threads * min(self.best, be.pace) / be.pace
             if not a_try.stalled:
-                alone = max(1.0, event.work or cmd.work) / cmd.profile.threads
-                pace = math.log(max(event.latency, 1) / alone)
-                be.paces.add(self.now, pace)
-                cmd.usual.paces.add(self.now, pace)
+                self._learn_pace(be, cmd, event.latency, (event.work or cmd.work) / cmd.profile.threads)
             if event.work or not a_try.stalled:
-                cmd.usual.learn(self.now, work, cmd.hint)
+                self.usual[cmd.kind].learn(self.now, work, cmd.hint)
         elif event.outcome is Outcome.FULL:
             be.full_at = be.heard = self.now
         elif not a_try.doomed and event.outcome is not Outcome.MOOT:
-            be.failures += 1
+            # a refused connection where nothing else was heard lately tells as much as several late answers
+            refused = event.outcome is Outcome.CONNECT_FAILED and self.now - be.heard > self.shortest
+            be.failures += FAILURES if refused else 1
             if be.failures >= FAILURES:
-                be.aside_at = self.now
-                be.aside_until = self.now + self.shortest * min(4, be.failures - FAILURES + 1)
+                self._set_aside(be)
+
+    def _set_aside(self, be: Backend) -> None:
+        """Longer with each further failure, and by chance: all gateways' trials are no surge of their own."""
+        be.failures = max(be.failures, FAILURES)
+        span = self.shortest * min(4, be.failures - FAILURES + 1) * (0.5 + self._chance())
+        be.aside_at, be.aside_until = self.now, self.now + int(span)
+
+    def _learn_pace(self, be: Backend, cmd: Command, latency: int, alone: float) -> None:
+        pace = math.log(max(latency, 1) / max(alone, 1.0))
+        for ring in (be.paces, self.paces, self.usual[cmd.kind].paces):
+            ring.add(self.now, pace)
 
     # Endings
 
@@ -319,15 +258,19 @@
             self.actions.append(api.Cancel(cmd.id, a_try.number))
 
     def _pass_turn(self, cmd: Command) -> None:
-        line = self.turns.get(cmd.key, deque()) if cmd.key is not None else deque()
-        if not cmd.out and cmd.id not in self.open and cmd in line:
+        if cmd.key is None or cmd.out or cmd.id in self.open:
+            return
+        line = self.turns.get(cmd.key, deque())
+        if cmd in line:
             line.remove(cmd)
+        if not line and self.rests.get(cmd.key, 0) <= self.now:
+            self.turns.pop(cmd.key, None)
+            self.rests.pop(cmd.key, None)
 
     def _give_up(self, cmd: Command) -> None:
         """The final answer at once: a shed reply where a repeat is harmless, otherwise a failure."""
-        profile = cmd.profile
-        dropped = profile.effect is Effect.UNIQUED and profile.scope is api.Scope.ALL
-        harmless = not cmd.ran or profile.effect is Effect.REPLAYABLE or dropped
+        dropped = cmd.profile.effect is Effect.UNIQUED and cmd.profile.scope is api.Scope.ALL
+        harmless = not cmd.ran or cmd.profile.effect is Effect.REPLAYABLE or dropped
         self.actions.append(api.Shed(cmd.id, self.allowed.longest_advice) if harmless else api.Fail(cmd.id))
         self._forget(cmd)
 
@@ -340,57 +283,64 @@
         in_time = self.now + self.look_every < ran[0].at + cmd.profile.remembered_for
         return cmd.profile.effect is Effect.UNIQUED and in_time
 
-    def _within_budget(self) -> bool:
-        taken, made = self.taken.total(self.now, covering=False)[1], self.extras.total(self.now)[1]
-        return made + 1 <= self.duties.extra_min + self.duties.extra_ratio * taken
-
     # Where a command may go
 
     def _allowed_there(self, cmd: Command, be: Backend) -> bool:
         profile, entry = cmd.profile, be.entry
-        if (profile.zones is not None and entry.zone not in profile.zones) or (
-                profile.kinds is not None and entry.kind not in profile.kinds):  # fmt: skip
-            return False
-        if cmd.tries and (be.credit < 1 or not self._may_send_again(cmd)):
+        if not profile.open_to(entry) or (cmd.tries and (be.credit < 1 or not self._may_send_again(cmd))):
             return False
         if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
             first = ran[0].be.entry
             if (profile.scope is api.Scope.ZONE and first.zone != entry.zone) or (
                     profile.scope is api.Scope.CELL and first.cell != entry.cell):  # fmt: skip
                 return False
-        return cmd.weight <= be.may
+        return not self._cold(be) or self._bears(be, cmd.weight)
 
-    def _cold_budget(self, be: Backend) -> float:
-        """Guards a just started engine: this gateway's part of what pushes it over, in any window."""
-        if be.cold_at is None or self.now >= be.cold_at + self.duties.warm_up:
-            return math.inf
-        if be.pushed is None:
-            be.pushed = Ring(self.duties.overload_for)
+    def _cold(self, be: Backend) -> bool:
+        return be.cold_at is not None and self.now < be.cold_at + self.duties.warm_up
+
+    def _bears(self, be: Backend, weight: float) -> bool:
+        """Guards a just started engine against the sum of all gateways. Where this one's part in a window is
+        less than the command, it saves up for it, from a level drawn by chance: the sum then keeps to the
+        budget on average, and no moment is everyone's."""
         rate = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even
-        return rate * self.duties.overload_for - be.pushed.total(self.now)[0]
+        part = rate * self.duties.overload_for
+        if be.pushed is None:
+            be.pushed = Ring(self.duties.overload_for, BUCKETS)
+        if weight <= part:
+            return weight <= part - be.pushed.total(self.now)[0]
+        return be.phase * weight <= rate * (self.now - be.cold_told) - be.cold_spent
 
     def _fits(self, threads: int, be: Backend) -> bool:
         """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
         guards against all that they can't take being poured on it at once."""
-        if not be.threads or not (be.pressed or self.strained):
+        if not (be.pressed or self.strained) or be.threads + threads <= be.slice:
+            return True
+        thin = be.slice < threads  # than one command: one while none runs, and all slices are one pool
+        if thin and not self.out:
             return True
-        bound = self._bound(be)
-        if threads == 1 or be.threads + threads <= bound:
-            return be.threads + threads <= bound
+        if threads == 1 or self.room < 1:
+            return thin and not be.threads and self.room >= 1
         # guards wide commands against small ones that take each thread as it falls free
-        alike = sum(cmd.profile.threads for cmd, _ in be.out.values() if cmd.profile.threads >= threads)
-        return self.room >= 1 and alike + threads <= max(bound, threads)
-
-    def _bound(self, be: Backend) -> float:
-        return be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
-
-    def _gauge(self, be: Backend) -> None:
-        best = be.best if be.best < math.inf else 1.0
-        be.pace = math.exp(be.paces.mean(self.now, math.log(best)))
-        refused = be.full_at is not None and self.now - be.full_at < self.shortest
-        be.may = self._cold_budget(be)
-        crowded = be.threads >= OPEN_WIDTH * be.cores * self.share and be.pace > NEAR_BEST * best
-        be.pressed = refused or crowded or be.pace > PRESSURE * best or be.overdue > PRESSURE * max(1.0, best)
+        alike = sum(cmd.profile.threads for near in (self.ready if thin else [be])
+                    for cmd, _ in near.out.values() if cmd.profile.threads >= threads)  # fmt: skip
+        return alike + threads <= max(self.room + self.out if thin else be.slice, threads)
+
+    def _gauge(self) -> None:
+        """Each engine's pace and pressure. Few answers of an engine weigh less than those of all."""
+        self.calm = max(1.0, math.exp(self.paces.latest(self.now, 0.0, ENOUGH / 8, ENOUGH)))
+        best, calm = max(1.0, min(self.best, self.calm)), math.log(self.calm)
+        for be in self.ready:
+            be.pace = math.exp(be.paces.latest(self.now, calm, ENOUGH / 4, ENOUGH))
+            refused = be.full_at is not None and self.now - be.full_at < self.shortest
+            full = be.threads >= max(1.0, OPEN_WIDTH * be.cores * self.share)
+            be.pressed = (refused or (full and be.pace > NEAR_BEST * best)
+                          or max(be.pace, be.overdue) > PRESSURE * best)  # fmt: skip
+            be.slice = be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
+        cores = sum([be.cores for be in self.ready])
+        self.strained = sum([be.cores for be in self.ready if be.pressed]) > STRAINED * cores
+        self.room = sum([be.slice for be in self.ready]) - self.out  # of all slices together
+        self.others = (1 / self.share - 1) * self.out / max(1.0, cores)  # threads a core, as far as is known
 
     def _added_stall(self, cmd: Command, be: Backend) -> float:
         """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
@@ -404,53 +354,87 @@
                 stall = max(ends - self.now, (self.now - began) / 4)
         if profile.loads:
             readers = sum(other.group == cmd.group and other.profile.waits for other, _ in be.out.values())
-            stall += readers * cmd.work / profile.threads
+            others = self.share < 0.5 and be in self._homes(cmd.group, profile)  # their readers
+            stall += (readers + others) * cmd.work / profile.threads
         return stall
 
-    def _cost(self, cmd: Command, be: Backend) -> float:
-        """The choice among equals: crowding, the engine's speed, and whether it keeps the group warm."""
-        crowd = (be.threads + cmd.profile.threads) / (be.cores * self.share)
-        slow = max(1.0, be.pace / self.calm)
-        cold = self.duties.cold_from if be.cold_at and self.now < be.cold_at + self.duties.warm_up else 1.0
-        return max(1.0, crowd / cold) * slow * (WARM_WORTH if cmd.group in be.warm else 1.0)
+    def _share_out(self) -> None:
+        """Guards engines that some profile is bound to against work that could go elsewhere: what a command
+        free to go anywhere sees of an engine is what the bound ones are thought to leave."""
+        self.homes.clear()
+        asked = [usual.asked.total(self.now)[0] for usual in self.usual]
+        level = sum(asked) / max(1.0, sum([be.cores for be in self.ready]))  # work asked for a core
+        for be in self.ready:
+            be.spare = be.cores
+        for profile, work in zip(self.given.profiles, asked, strict=True):
+            bound = [be for be in self.ready if profile.open_to(be.entry)]
+            if level and len(bound) < len(self.ready):
+                taken = work / level / max(1.0, sum([be.cores for be in bound]))  # part of these engines
+                for be in bound:
+                    be.spare = max(be.cores / 10, be.spare - be.cores * taken)
+
+    def _draw(self, seed: int, profile: api.Profile, be: Backend) -> float:
+        """A lot by hash, least for the engine drawn: fair by what each has to give."""
+        lot = (zlib.crc32(be.entry.id, seed) + 1) / 2**32
+        return -math.log(lot) / (be.cores if profile.bound else be.spare)
+
+    def _homes(self, group: int, profile: api.Profile) -> list[Backend]:
+        """The engines where all gateways run a group, agreed without a word by hashing both: more of them
+        for a group that draws more of the commands."""
+        name = (group, profile.zones, profile.kinds)
+        if name not in self.homes:
+            seed = zlib.crc32(group.to_bytes(8, "little", signed=True))
+            fit = [be for be in self.ready if profile.open_to(be.entry)]
+            self.homes[name] = sorted(fit, key=lambda be: (self._draw(seed, profile, be), be.entry.id))
+        seen = self.groups[group] + self.earlier[group]
+        part = (seen + 1) / (self.groups.total() + self.earlier.total() + 2 * len(self.ready))
+        return self.homes[name][: 1 + math.ceil(SPREAD * part * len(self.homes[name]))]
 
     def _place(self, cmd: Command, roomy: list[Backend]) -> tuple[float, float, float, Backend] | None:
-        best: tuple[float, float, float, Backend] | None = None
+        """The least stall, then the choice among equals: crowding, the engine's speed, and whether it keeps
+        the group warm; then the home."""
+        options = []
+        homes = self._homes(cmd.group, cmd.profile) if self.share < 0.5 else []
         for be in roomy:
             if not self._fits(cmd.profile.threads, be) or not self._allowed_there(cmd, be):
                 continue
-            home = -be.warm[cmd.group] if cmd.group in be.warm else len(be.warm) + be.threads / be.cores
-            option = (self._added_stall(cmd, be), self._cost(cmd, be), home, be)
-            if best is None or option[:3] < best[:3]:
-                best = option
-        return best
+            crowd = self.others + (be.threads + cmd.profile.threads) / be.cores
+            crowd /= self.duties.cold_from if self._cold(be) else 1.0
+            warm = be in homes if homes else cmd.group in be.warm
+            home = (-float(be.warm[cmd.group]) if warm and cmd.group in be.warm
+                    else self._draw(cmd.lot, cmd.profile, be))  # fmt: skip
+            cost = max(1.0, crowd) * max(1.0, be.pace / self.calm) * (WARM_WORTH if warm else 1.0)
+            options.append((self._added_stall(cmd, be), cost, home, be))
+        return min(options, key=lambda option: option[:3], default=None)
 
     def _settle(self, _event: api.Settled) -> None:
-        self._release()
-        if self.next_look is None:
+        if self.waiting:
+            self._release()
+        if self.look_at is not None and self.now >= self.look_at:
+            self.look_at = None
             self._look()
-            self.next_look = self.now + self.look_every
-            self.actions.append(api.Wake(self.next_look, self.next_look))
+        if (at := self.look_at) is not None and (self.woken_for is None or at < self.woken_for):
+            self.woken_for = at
+            self.actions.append(api.Wake(at, at))
+
+    def _plan(self, at: int) -> None:
+        if self.look_at is None or at < self.look_at:
+            self.look_at = at
 
     def _release(self) -> None:
         """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
         ready = deque(sorted(filter(self._has_turn, self.waiting.values()), key=lambda cmd: cmd.due))
-        for be in self.ready:
-            self._gauge(be)
-        self.strained = any(be.pressed for be in self.ready)
-        paces = [1.0, *sorted(be.pace for be in self.ready)]
-        self.calm = max(1.0, paces[(len(paces) + 1) // 2 if self.ready else 0])
-        self.room = sum(self._bound(be) - be.threads for be in self.ready)  # of all slices together
-        stuck: set[Usual] = set()  # profiles with no place left; within a release none comes free
+        self._gauge()
+        stuck: set[int] = set()  # profiles with no place left; within a release none comes free
         while ready:
             roomy = [be for be in self.ready if be.aside_until is None or
                      (not be.out and self.now >= be.aside_until)]  # fmt: skip
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
-                place = self._place(cmd, roomy) if cmd.tries or cmd.usual not in stuck else None
+                place = self._place(cmd, roomy) if cmd.tries or cmd.kind not in stuck else None
                 if place is None and not cmd.tries:
-                    stuck.add(cmd.usual)
+                    stuck.add(cmd.kind)
                 elif place and (picked is None or place[0] < picked[0]):
                     picked = (place[0], at, place[3])
                 if picked and not picked[0]:
@@ -458,14 +442,16 @@
             if picked:  # otherwise held; later ones may still have room elsewhere
                 self._send(sample.pop(picked[1]), picked[2])
                 ready.extendleft(reversed(sample))
+        if self.waiting:
+            self._plan(self.now + self.look_every)
 
     def _has_turn(self, cmd: Command) -> bool:
-        key = cmd.key
-        return key is None or (self.turns[key][0] is cmd and self.now >= self.rests.get(key, 0))
+        return cmd.key is None or (self.turns[cmd.key][0] is cmd and self.now >= self.rests.get(cmd.key, 0))
 
     def _send(self, cmd: Command, be: Backend) -> None:
         if cmd.tries:
-            if not self._within_budget():
+            taken, made = self.taken.total(self.now, covering=False)[1], self.extras.total(self.now)[1]
+            if made + 1 > self.duties.extra_min + self.duties.extra_ratio * taken:
                 return
             self.extras.add(self.now, 0.0)
             be.credit -= 1
@@ -478,47 +464,51 @@
             be.heard = self.now
         be.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
         be.threads, self.room = be.threads + cmd.profile.threads, self.room - cmd.profile.threads
-        be.ran(cmd.group, self.now)
+        self.out += cmd.profile.threads
+        be.ran(cmd.group, self.now, WARM_GROUPS)
         if be.pushed is not None:
             be.pushed.add(self.now, cmd.weight)
-            be.may -= cmd.weight
+            be.cold_spent += cmd.weight
         if cmd.profile.loads:  # scarce cores go first to what others stand behind
             be.loads[cmd.group] = (cmd, a_try.finish)
             if self.allowed.priorities and not a_try.number:
                 self.actions.append(api.Resources(cmd.id, 0.0, HIGHEST))
         self.actions.append(api.Send(cmd.id, be.entry.id, cmd.ends_by - self.now))
+        self._plan(self.now + max(self.look_every, int(expected) // 4))
 
     def _look(self) -> None:
         """What time alone brings: ends of patience, silence and the engines' widths."""
-        if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand and self.ready:
-            self.unprobed, self.probed = 0, self.probed + 1
-            self.actions.append(api.Probe(self.ready[self.probed % len(self.ready)].entry.id))
-        for be in self.backends.values():
+        if self.paces.total(self.now)[1] >= ENOUGH:
+            self.best = min(self.calm, self.best * 1.001)
+        for be in self.ready:
             self._adjust(be)
+        self.looked_at = self.now
         for cmd in list(self.open.values()):
             fresh = cmd.work / cmd.profile.threads * (self.calm if self.strained else 1.0)
             useful = cmd.due if self.strained else cmd.ends_by  # late answers pay where there is room
             hopeless = cmd.id in self.waiting and self.now + fresh > useful
             if hopeless or self.now + 2 * self.look_every >= cmd.ends_by:
                 self._give_up(cmd)
-            elif cmd.out and cmd.id not in self.waiting:
+                continue
+            wait = self.look_every
+            if cmd.out and cmd.id not in self.waiting:
                 self._reconsider(cmd)
+                wait = max(wait, (self.now - cmd.tries[-1].at) // 4)
+            self._plan(min(self.now + wait, cmd.ends_by - 2 * self.look_every))
 
     def _adjust(self, be: Backend) -> None:
-        # guards against an engine so crowded that it answers nothing, and so tells nothing
-        late = sum(min(2 * RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads
-                   for cmd, t in be.out.values() if not t.stalled)  # fmt: skip
-        be.overdue = late / max(1, be.threads)
-        if be.aside_until is None and self._silent(be):
-            be.failures = max(be.failures, FAILURES)
-            be.aside_at, be.aside_until = self.now, self.now + self.shortest
-        if be.paces.total(self.now)[1] >= BUCKETS:
-            pace = math.exp(be.paces.mean(self.now, 0.0, 0.0))
-            be.best = min(pace, be.best * 1.001)
-            if pace < NEAR_BEST * be.best:
-                be.width = min(OPEN_WIDTH, be.width * 1.02)
-            elif pace > PRESSURE * be.best:
-                be.width = max(LEAST_WIDTH, be.width * 0.98)
+        be.overdue = self.calm
+        if be.out:  # guards against an engine so crowded that it answers nothing, and so tells nothing
+            late = sum(min(RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads
+                       for cmd, t in be.out.values() if not t.stalled)  # fmt: skip
+            be.overdue = (late + be.cores * self.calm) / (be.threads + be.cores)
+            if be.aside_until is None and self._silent(be):
+                self._set_aside(be)
+        step = 2.0 ** min(1.0, (self.now - self.looked_at) / self.shortest)  # twofold in the shortest target
+        if be.pace < NEAR_BEST * self.best:
+            be.width = min(OPEN_WIDTH, be.width * step)
+        elif be.pace > PRESSURE * self.best:
+            be.width = max(LEAST_WIDTH, be.width / step)
 
     def _silent(self, be: Backend) -> bool:
         """Overdue sends in a row and not a word: no pause, no slowness, no one bad plan."""
@@ -528,18 +518,17 @@
 
     def _reconsider(self, cmd: Command) -> None:
         """Guards against silent engines, bad plans and engines far slower than the rest."""
-        a_try, be = cmd.out[-1], cmd.out[-1].be
+        a_try, be, profile = cmd.out[-1], cmd.out[-1].be, cmd.profile
         if a_try.doomed or not (self.allowed.cancelling and self._may_send_again(cmd)):
             return
-        alone = cmd.work / cmd.profile.threads
-        fresh = alone * max(self.calm, cmd.usual.pace(self.now))
-        finish = a_try.finish if a_try.told and a_try.finish > self.now else 2 * self.now - a_try.at
-        overlong = finish - a_try.at > RUNAWAY * fresh and not cmd.profile.loads
-        late = finish > max(cmd.due, self.now + 2 * fresh)
+        age, alone = self.now - a_try.at, cmd.work / profile.threads
+        fresh = alone * max(self.calm, math.exp(self.usual[cmd.kind].paces.mean(self.now, 0.0, 1.0)))
+        left = max(a_try.finish - self.now, age / 4) if a_try.told else float(age)
+        total = age + left if a_try.told else 0 if self.given.note_every else age
+        late = self.now + left > max(cmd.due, self.now + 2 * fresh)
         if be.aside_until is not None:
             self._cancel(cmd, a_try)
-        elif overlong and late and not a_try.stalled and (a_try.told or cmd.usual.credit >= 1):
-            cmd.usual.credit -= 0 if a_try.told else 1
-            a_try.overlong = True
-            cmd.usual.paces.add(self.now, math.log(max(1, self.now - a_try.at) / alone))
+        elif total > RUNAWAY * fresh * 2**cmd.overlong and late and not profile.loads and not a_try.stalled:
+            cmd.overlong += 1
+            self._learn_pace(be, cmd, age, alone)
             self._cancel(cmd, a_try)
--- /dev/null
+++ b/lotusstream/state.py
@@ -0,0 +1,116 @@
+"""What a gateway keeps: records and sums over time. No decision is made here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from lotusstream import interface as api
+
+
+class Ring:
+    """Sums over the last `span`, in fixed buckets of time that are used again."""
+
+    def __init__(self, span: int, buckets: int) -> None:
+        self.buckets, self.width = buckets, max(1, span // buckets)
+        self.slots = [[-1, 0.0, 0.0] for _ in range(buckets + 1)]
+        self.newest = -buckets
+
+    def add(self, now: int, amount: float, count: float = 1.0) -> None:
+        at = self.newest = now // self.width
+        slot = self.slots[at % len(self.slots)]
+        if slot[0] != at:
+            slot[:] = [at, 0.0, 0.0]
+        slot[1] += amount
+        slot[2] += count
+
+    def total(self, now: int, *, covering: bool = True) -> tuple[float, float]:
+        """Amount and count; `covering` takes in at least the span, otherwise at most."""
+        oldest = now // self.width - self.buckets + (0 if covering else 1)
+        kept = [slot for slot in self.slots if slot[0] >= oldest]
+        return sum([slot[1] for slot in kept]), sum([slot[2] for slot in kept])
+
+    def mean(self, now: int, prior: float, weight: float) -> float:
+        """The prior weighs as much as `weight` counts."""
+        amount, count = self.total(now)
+        return (amount + prior * weight) / (count + weight)
+
+    def latest(self, now: int, prior: float, weight: float, enough: float) -> float:
+        """As the mean, over the newest buckets only where these hold enough."""
+        at, amount, count = now // self.width, prior * weight, weight
+        for back in range(at - self.newest, self.buckets):
+            slot = self.slots[(at - back) % len(self.slots)]
+            if slot[0] == at - back:
+                amount, count = amount + slot[1], count + slot[2]
+                if count >= enough:
+                    break
+        return amount / count
+
+
+@dataclass(slots=True, eq=False)
+class Try:
+    """One send of a command."""
+
+    be: Backend
+    at: int
+    alone: float  # what its work would take on an idle engine
+    expected: float
+    number: int
+    finish: float  # when it is thought to end
+    stalled: bool = False
+    told: bool = False  # a note of progress told the finish
+    outcome: api.Outcome | None = None
+    doomed: bool = False  # cancelled by this gateway
+
+
+@dataclass(slots=True, eq=False)
+class Command:
+    id: int
+    kind: int  # place of its profile among all
+    profile: api.Profile
+    group: int
+    key: int | None
+    hint: int | None
+    work: float
+    weight: float  # the usual work of its profile, never thought too small
+    due: int
+    ends_by: int
+    lot: int  # drawn once: decides among equals
+    tries: list[Try] = field(default_factory=list)
+    overlong: int = 0  # sends given up as bad plans
+
+    @property
+    def out(self) -> list[Try]:
+        return [a_try for a_try in self.tries if a_try.outcome is None]
+
+    @property
+    def ran(self) -> list[Try]:
+        """The sends that may have run."""
+        return [a_try for a_try in self.tries if a_try.outcome not in api.PROVES_NOT_RUN]
+
+
+class Backend:
+    """An engine as this gateway sees it."""
+
+    def __init__(self, entry: api.Engine, cores: float, paces: Ring, width: float, credit: float) -> None:
+        self.entry, self.cores, self.spare = entry, cores, cores  # spare: left by profiles bound to it
+        self.threads, self.out = 0, dict[int, tuple[Command, Try]]()  # by command and send
+        self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
+        self.warm: dict[int, int] = {}  # groups last run here, oldest first
+        self.paces, self.pace = paces, 1.0  # recent latency over what the work would take alone
+        self.overdue, self.pressed = 0.0, False  # the pace that sends still out already show
+        self.width, self.slice, self.credit = width, 0.0, credit  # slice: threads, as last bounded
+        self.full_at: int | None = None
+        self.heard, self.failures, self.aside_at = 0, 0, 0
+        self.aside_until: int | None = None
+        self.chill(None, 0, 0.0)
+
+    def chill(self, since: int | None, told: int, phase: float) -> None:
+        self.cold_at, self.cold_told, self.phase = since, told, phase
+        self.pushed: Ring | None = None  # work sent while cold
+        self.cold_spent = 0.0
+
+    def ran(self, group: int, now: int, keep: int) -> None:
+        self.warm.pop(group, None)
+        self.warm[group] = now
+        if len(self.warm) > keep:
+            del self.warm[next(iter(self.warm))]
