--- /dev/null
+++ b/lotusstream/net/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway on sockets: actors that report facts and carry out the decision module's actions."""
--- /dev/null
+++ b/lotusstream/net/actor.py
@@ -0,0 +1,95 @@
+"""Actors: a mailbox, one message at a time, and what happens when one fails."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections import deque
+from collections.abc import Coroutine
+from typing import Any, Generic, TypeVar
+
+from lotusstream.counters import Counters
+from lotusstream.invariants import Invariants
+from lotusstream.log import Log
+
+Message = TypeVar("Message")
+
+
+class Mailbox(Generic[Message]):
+    def __init__(self) -> None:
+        self._messages: deque[Message] = deque()
+        self._filled = asyncio.Event()
+
+    def put(self, message: Message) -> None:
+        self._messages.append(message)
+        self._filled.set()
+
+    async def wait(self) -> None:
+        await self._filled.wait()
+
+    def take(self) -> Message | None:
+        if self._messages:
+            return self._messages.popleft()
+        self._filled.clear()
+        return None
+
+    def __len__(self) -> int:
+        return len(self._messages)
+
+
+class Supervisor:
+    """Holds the running tasks. One that fails is counted and logged, and leaves the rest running."""
+
+    def __init__(self) -> None:
+        self.counters, self.log = Counters(), Log()
+        self.invariants = Invariants(self.counters, self.log)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self, name: str, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.counters.add("tasks failed")
+            self.log.say("task failed", task.get_name() + "\n" + "".join(traceback.format_exception(error)))
+
+    async def stop(self) -> None:
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class Actor(Generic[Message]):
+    """Whoever has news for it posts a message; `receive` handles one after the other."""
+
+    def __init__(self, name: str, supervisor: Supervisor) -> None:
+        self.name, self.supervisor = name, supervisor
+        self.mailbox: Mailbox[Message] = Mailbox()
+
+    def start(self) -> asyncio.Task[None]:
+        return self.supervisor.start(self.name, self.run())
+
+    def post(self, message: Message) -> None:
+        self.mailbox.put(message)
+
+    async def run(self) -> None:
+        while True:
+            await self.mailbox.wait()
+            while (message := self.mailbox.take()) is not None:
+                try:
+                    await self.receive(message)
+                except Exception as error:
+                    self.supervisor.counters.add("messages failed")
+                    self.supervisor.log.say(
+                        "message failed",
+                        f"{self.name}, {type(message).__name__}\n"
+                        + "".join(traceback.format_exception(error)),
+                    )
+
+    async def receive(self, message: Message) -> None:
+        raise NotImplementedError
--- /dev/null
+++ b/lotusstream/net/client.py
@@ -0,0 +1,136 @@
+"""One client connection: reads its messages, writes its answers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from thrift.Thrift import TApplicationException
+
+from lotusstream.deployment import Deployment
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.buffer import Buffer, BufferFull
+from lotusstream.net.clock import Clock
+from lotusstream.protocol import front
+from lotusstream.protocol.tables import table_group
+
+
+@dataclass(slots=True, eq=False)
+class TakenCommand:
+    """A command from its last byte until its answer is owed no more."""
+
+    client: ClientConnection
+    seqid: int
+    fields: front.CommandFields
+    group: int
+    statement: bytes
+    ends_by: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    """The client waits no longer for this command."""
+
+    command: TakenCommand
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    frame: bytes
+    ends: TakenCommand | None = None
+
+
+ClientReport = Callable[[TakenCommand | ClientLeft], None]
+
+
+class ClientConnection(Actor[Reply]):
+    def __init__(
+        self,
+        sock: socket.socket,
+        deployment: Deployment,
+        marked: tuple[bool, ...],
+        clock: Clock,
+        report: ClientReport,
+        good: Callable[[], bool],
+        supervisor: Supervisor,
+    ) -> None:
+        super().__init__("client", supervisor)
+        self._sock, self._deployment, self._marked = sock, deployment, marked
+        self._clock, self._report, self._good = clock, report, good
+        self.open: dict[int, TakenCommand] = {}
+
+    async def serve(self) -> None:
+        """Reads until the client leaves; its open commands leave with it."""
+        writer = self.start()
+        buffer = Buffer(4096, front.FRAME.size + front.LONGEST_FRAME)
+        loop = asyncio.get_running_loop()
+        try:
+            while count := await loop.sock_recv_into(self._sock, buffer.space()):
+                at = self._clock.now()
+                buffer.filled(count)
+                while (length := front.frame_length(buffer.data())) is not None:
+                    if len(buffer) < front.FRAME.size + length:
+                        break
+                    frame = bytes(buffer.data()[front.FRAME.size : front.FRAME.size + length])
+                    buffer.use(front.FRAME.size + length)
+                    self._handle(frame, at)
+        except (front.BrokenFrame, BufferFull) as error:
+            self.supervisor.counters.add("client connections broken")
+            self.supervisor.log.say("client", str(error))
+        except OSError:
+            self.supervisor.counters.add("client connections reset")
+        finally:
+            writer.cancel()
+            for command in list(self.open.values()):
+                self._report(ClientLeft(command))
+            self.open.clear()
+            await asyncio.gather(writer, return_exceptions=True)
+            self._sock.close()
+
+    async def receive(self, message: Reply) -> None:
+        try:
+            await asyncio.get_running_loop().sock_sendall(self._sock, message.frame)
+        except OSError:
+            self._sock.shutdown(socket.SHUT_RDWR)  # the reader sees it and ends the connection
+        finally:
+            if message.ends is not None and self.open.get(message.ends.seqid) is message.ends:
+                del self.open[message.ends.seqid]
+
+    def _handle(self, frame: bytes, at: int) -> None:
+        try:
+            message = front.decode(frame)
+        except front.UnusableMessage as error:
+            self.supervisor.counters.add("messages unusable")
+            self.supervisor.log.say("client", str(error))
+            self.post(Reply(front.encode_fault("process", error.seqid, error.kind, str(error))))
+            return
+        match message:
+            case front.FrontProbe(seqid):
+                self.post(Reply(front.encode_answer("probe", seqid, b"", self._good())))
+            case front.GiveUp(seqid):
+                if command := self.open.pop(seqid, None):
+                    self._report(ClientLeft(command))
+            case front.Process():
+                self._take(message, at)
+
+    def _take(self, message: front.Process, at: int) -> None:
+        if message.seqid in self.open:
+            raise front.BrokenFrame(f"sequence number {message.seqid} used again while open")
+        try:
+            if len(self.open) >= front.MOST_OPEN:
+                raise front.UnusableCommand("too many open")
+            fields = front.command_fields(message.fields, self._deployment.profiles, self._marked)
+            group = table_group(message.body.decode())
+            if group is None:
+                raise front.UnusableCommand("the statement names no group of tables")
+        except (front.UnusableCommand, UnicodeDecodeError) as error:
+            self.supervisor.counters.add("commands unusable")
+            self.supervisor.log.say("client", f"unusable command: {error}")
+            kind = TApplicationException.PROTOCOL_ERROR
+            self.post(Reply(front.encode_fault("process", message.seqid, kind, str(error))))
+            return
+        command = TakenCommand(self, message.seqid, fields, group, message.body, at + fields.time_left)
+        self.open[message.seqid] = command
+        self._report(command)
--- /dev/null
+++ b/lotusstream/net/clock.py
@@ -0,0 +1,13 @@
+"""Whole microseconds of the Unix clock, as of the start and onwards without steps."""
+
+from __future__ import annotations
+
+import time
+
+
+class Clock:
+    def __init__(self) -> None:
+        self._ahead = time.time_ns() - time.monotonic_ns()
+
+    def now(self) -> int:
+        return (time.monotonic_ns() + self._ahead) // 1000
--- /dev/null
+++ b/lotusstream/net/connection.py
@@ -0,0 +1,166 @@
+"""HTTP connections that the gateway opens, and the budget of descriptors that they share."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from lotusstream.net.buffer import Buffer, BufferFull
+from lotusstream.protocol import http
+
+US = 1_000_000
+Endpoint = tuple[str, int]
+
+
+class CannotConnect(Exception):
+    """No connection came up, so nothing was sent."""
+
+
+class Refused(CannotConnect):
+    """Nobody listens there."""
+
+
+class NoDescriptor(CannotConnect):
+    """This gateway may open no further connection now."""
+
+
+class CallBroken(Exception):
+    """A call went out, at least in part, and no whole answer came back."""
+
+
+class SocketBudget:
+    """How many connections may be open at once. The last few are kept back for calls that end things."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.kept_back, self.used = most, most // 8, 0
+        self._idle: dict[Connection, Pool] = {}
+
+    def take(self, ends_things: bool) -> None:
+        most = self.most if ends_things else self.most - self.kept_back
+        while self.used >= most and self._idle:
+            connection, pool = next(iter(self._idle.items()))
+            pool.drop(connection)
+        if self.used >= most:
+            raise NoDescriptor
+        self.used += 1
+
+    def give_back(self) -> None:
+        self.used -= 1
+
+    def rests(self, connection: Connection, pool: Pool) -> None:
+        self._idle[connection] = pool
+
+    def works(self, connection: Connection) -> None:
+        self._idle.pop(connection, None)
+
+
+class Connection:
+    """One call at a time. After a broken call it is to be closed."""
+
+    def __init__(self, sock: socket.socket, budget: SocketBudget, longest_body: int) -> None:
+        self._sock, self._budget, self._longest = sock, budget, longest_body
+        self._buffer = Buffer(4096, http.LONGEST_HEAD + longest_body)
+        self._closed = False
+        self.idle_since = 0
+
+    @classmethod
+    async def open(
+        cls, endpoint: Endpoint, time_out: int, budget: SocketBudget, longest_body: int, *, ends_things: bool
+    ) -> Connection:
+        budget.take(ends_things)
+        sock: socket.socket | None = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            async with asyncio.timeout(time_out / US):
+                await asyncio.get_running_loop().sock_connect(sock, endpoint)
+            return cls(sock, budget, longest_body)
+        except BaseException as error:
+            budget.give_back()
+            if sock is not None:
+                sock.close()
+            if isinstance(error, ConnectionRefusedError):
+                raise Refused(str(error)) from error
+            if isinstance(error, OSError):  # a time-out is one too
+                raise CannotConnect(repr(error)) from error
+            raise
+
+    def still_open(self) -> bool:
+        """Nothing has come while it was idle, no close either."""
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    async def call(self, request: bytes, patience: int) -> http.Answer:
+        loop = asyncio.get_running_loop()
+        reader = http.AnswerReader(self._longest)
+        try:
+            async with asyncio.timeout(patience / US):
+                await loop.sock_sendall(self._sock, request)
+                while reader.answer is None:
+                    count = await loop.sock_recv_into(self._sock, self._buffer.space())
+                    if not count:
+                        raise CallBroken("closed before the answer was whole")
+                    self._buffer.filled(count)
+                    data = self._buffer.data()
+                    self._buffer.use(len(data))
+                    reader.feed(data)
+        except (OSError, http.BrokenAnswer, BufferFull) as error:
+            raise CallBroken(repr(error)) from error
+        return reader.answer
+
+    def close(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._budget.works(self)
+            self._budget.give_back()
+            self._sock.close()
+
+
+class Pool:
+    """The connections to one address. Idle ones are closed well before the other side does it."""
+
+    def __init__(
+        self, endpoint: Endpoint, budget: SocketBudget, connect_timeout: int, idle_timeout: int, longest_body: int
+    ) -> None:
+        self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
+        self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
+        self._idle: dict[Connection, None] = {}
+
+    async def get(self, now: int, *, ends_things: bool = False, fresh: bool = False) -> Connection:
+        self.trim(now)
+        while self._idle and not fresh:
+            connection, _ = self._idle.popitem()
+            self._budget.works(connection)
+            if connection.still_open():
+                return connection
+            connection.close()
+        return await Connection.open(
+            self._endpoint, self.connect_timeout, self._budget, self._longest, ends_things=ends_things
+        )
+
+    def put_back(self, connection: Connection, answer: http.Answer, now: int) -> None:
+        if not answer.reusable:
+            connection.close()
+            return
+        connection.idle_since = now
+        self._idle[connection] = None
+        self._budget.rests(connection, self)
+
+    def drop(self, connection: Connection) -> None:
+        self._idle.pop(connection, None)
+        connection.close()
+
+    def trim(self, now: int) -> None:
+        """Idle ones stand in the order of their last use."""
+        while self._idle and now - (oldest := next(iter(self._idle))).idle_since >= self._keep:
+            self.drop(oldest)
+
+    def clear(self) -> None:
+        for connection in list(self._idle):
+            self.drop(connection)
--- /dev/null
+++ b/lotusstream/net/decider.py
@@ -0,0 +1,311 @@
+"""The sole owner of the decision module: its clock, its timers, its commands' ids, and its actions."""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import traceback
+from dataclasses import dataclass, field, replace
+
+from lotusstream import interface as api
+from lotusstream.deployment import Deployment
+from lotusstream.interface import Effect, Outcome
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.client import ClientLeft, Reply, TakenCommand
+from lotusstream.net.clock import Clock
+from lotusstream.net.connection import US, SocketBudget
+from lotusstream.net.engine import CancelSend, EngineActor, Listed, SendEnded, SetPriority, StartSend
+from lotusstream.policy import Gateway
+from lotusstream.protocol import front, notices
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    """A command as the module knows it, until it is over and its sends have ended."""
+
+    id: int
+    taken: TakenCommand
+    open: bool = True
+    sends: list[EngineActor | None] = field(default_factory=list)
+    out: set[int] = field(default_factory=set)
+    priority: int | None = None
+
+
+class Ring:
+    """A timer of the module has come due."""
+
+
+DeciderMessage = TakenCommand | ClientLeft | SendEnded | api.Noted | notices.Notice | Ring
+
+
+class Decider(Actor[DeciderMessage]):
+    def __init__(
+        self, deployment: Deployment, budget: SocketBudget, clock: Clock, supervisor: Supervisor
+    ) -> None:
+        super().__init__("decider", supervisor)
+        self._deployment, self._budget, self._clock = deployment, budget, clock
+        allowed = replace(deployment.started.allowed, probes=False, grants=False, must_subscribe=False)
+        self._started = replace(deployment.started, allowed=allowed)  # what this protocol has no call for
+        self._module = Gateway()
+        self._now = self._last_round = 0
+        self._ids = 0
+        self._held: dict[int, Held] = {}
+        self._by_taken: dict[TakenCommand, Held] = {}
+        self._calls: set[str] = set()
+        self._engines: dict[api.EngineId, EngineActor] = {}
+        self._entries: dict[api.EngineId, api.Engine] = {}
+        self._timers: list[tuple[int, int]] = []
+        self._armed: tuple[int, asyncio.TimerHandle] | None = None
+        self.listed = False
+
+    @property
+    def open_commands(self) -> int:
+        return len(self._by_taken)
+
+    async def run(self) -> None:
+        self._now = self._clock.now()
+        self._carry_out(self._tell(self._started))
+        while True:
+            await self.mailbox.wait()
+            pause = self._last_round + self._started.period - self._clock.now()
+            if pause > 0:
+                await asyncio.sleep(pause / US)
+            self._round()
+
+    # What is told
+
+    def _round(self) -> None:
+        """All that is known by now, then Settled, then the actions in their order."""
+        self._now = self._last_round = max(self._now, self._clock.now())
+        actions: list[api.Action] = []
+        while (message := self.mailbox.take()) is not None:
+            if (event := self._event(message)) is not None:
+                actions += self._tell(event)
+        while self._timers and self._timers[0][0] <= self._now:
+            actions += self._tell(api.Woken(heapq.heappop(self._timers)[1]))
+        actions += self._tell(api.Settled())
+        self._carry_out(actions)
+        self._arm()
+        self.supervisor.counters.peak("round, us", self._clock.now() - self._now)
+
+    def _event(self, message: DeciderMessage) -> api.Event | None:
+        match message:
+            case TakenCommand():
+                return self._take(message)
+            case ClientLeft(command):
+                return self._left(command)
+            case SendEnded():
+                return self._ended(message)
+            case api.Noted():
+                return message if message.command in self._held else None
+            case notices.Notice():
+                return self._list(message)
+        return None
+
+    def _take(self, taken: TakenCommand) -> api.Event | None:
+        counters, profile = self.supervisor.counters, self._deployment.profiles[taken.fields.profile]
+        counters.add(f"taken {profile}")
+        counters.peak("wait before the module, us", self._now - (taken.ends_by - taken.fields.time_left))
+        if taken.fields.call in self._calls:
+            counters.add("commands unusable")
+            taken.client.post(Reply(front.encode_failure(taken.seqid, "call is open already"), taken))
+            return None
+        if len(self._by_taken) >= (self._deployment.most_open or len(self._by_taken) + 1):
+            counters.add(f"shed {profile}")
+            taken.client.post(Reply(front.encode_shed(taken.seqid, 0), taken))
+            return None
+        self._ids += 1
+        held = self._held[self._ids] = self._by_taken[taken] = Held(self._ids, taken)
+        self._calls.add(taken.fields.call)
+        fields, left = taken.fields, max(0, taken.ends_by - self._now)
+        return api.Arrived(held.id, fields.profile, fields.hint, fields.memory_mb, left, taken.group, None)
+
+    def _left(self, taken: TakenCommand) -> api.Event | None:
+        held = self._by_taken.get(taken)
+        if held is None:
+            return None
+        self.supervisor.counters.add(f"left {self._deployment.profiles[taken.fields.profile]}")
+        self._close(held)
+        return api.ClientGone(held.id)
+
+    def _ended(self, told: SendEnded) -> api.Event | None:
+        held = self._held.get(told.command)
+        if not self.supervisor.invariants.hold(
+            "a send ends once", held is not None and told.number in held.out
+        ):
+            return None
+        assert held is not None
+        held.out.discard(told.number)
+        self.supervisor.counters.add(f"sends {told.outcome.name.lower()}")
+        if told.outcome is Outcome.ANSWERED and held.open:
+            frame = front.encode_answer("process", held.taken.seqid, told.rows or b"", True)
+            self._answer(held, frame, "answered")
+        over = not held.open
+        self._forget(held)
+        return api.Ended(
+            told.command, told.number, told.engine, told.outcome, told.latency, over, told.work,
+            told.memory_mb, None,
+        )  # fmt: skip
+
+    def _list(self, notice: notices.Notice) -> api.Event:
+        if notice.whole:
+            named = {listed.engine.id for listed in notice.listed}
+            for engine in [engine for engine in self._engines if engine not in named]:
+                self._engines[engine].post(Listed(ready=False, restarted=False))
+                self._entries[engine] = replace(self._entries[engine], state=api.State.GONE)
+        for listed in notice.listed:
+            self._know(listed)
+        self._drop_gone()
+        self.listed = True
+        kind = api.ListKind.FULL if notice.whole else api.ListKind.CHANGES
+        return api.EngineNews(kind, tuple(listed.engine for listed in notice.listed))
+
+    def _know(self, listed: notices.Listed) -> None:
+        entry, before = listed.engine, self._entries.get(listed.engine.id)
+        actor = self._engines.get(entry.id)
+        self._entries[entry.id] = entry
+        if listed.endpoint and (actor is None or actor.endpoint != listed.endpoint):
+            if actor is not None:
+                actor.post(Listed(ready=False, restarted=True))
+            actor = self._engines[entry.id] = EngineActor(
+                entry.id, listed.endpoint, self._budget, self._deployment.connect_timeout,
+                self._deployment.idle_timeout, self._clock, self.post, self.supervisor,
+            )  # fmt: skip
+            actor.start()
+        if actor is not None:
+            restarted = before is not None and before.started != entry.started
+            actor.post(Listed(entry.state is api.State.READY, restarted))
+
+    def _drop_gone(self) -> None:
+        used = {actor for held in self._held.values() for actor in held.sends}
+        for engine, entry in list(self._entries.items()):
+            actor = self._engines.get(engine)
+            if entry.state is api.State.GONE and actor not in used:
+                del self._entries[engine]
+                if actor is not None:
+                    del self._engines[engine]
+                    actor.close()
+
+    def trim(self) -> None:
+        for actor in self._engines.values():
+            actor.trim()
+
+    # The module
+
+    def _tell(self, event: api.Event) -> list[api.Action]:
+        try:
+            return list(self._module.handle(self._now, event))
+        except Exception:
+            self.supervisor.counters.add("module failed")
+            self.supervisor.log.say("module failed", f"at {event}\n{traceback.format_exc()}")
+            return self._begin_anew()
+
+    def _begin_anew(self) -> list[api.Action]:
+        """What the module was about is unknown: every open command fails, and a new one starts from nothing."""
+        for held in list(self._by_taken.values()):
+            self._answer(held, front.encode_failure(held.taken.seqid, "internal error"), "failed")
+        for held in list(self._held.values()):
+            for number in held.out:
+                self._cancel(held, number)
+        self._module = Gateway()
+        self._timers.clear()
+        actions = list(self._module.handle(self._now, self._started))
+        news = api.EngineNews(api.ListKind.FULL, tuple(self._entries.values()))
+        return actions + list(self._module.handle(self._now, news))
+
+    def _carry_out(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            match action:
+                case api.Send():
+                    self._send(action)
+                case api.Cancel(command, send):
+                    if held := self._held.get(command):
+                        self._cancel(held, send)
+                case api.Resources(command, _, priority):
+                    if held := self._held.get(command):
+                        self._set_priority(held, priority)
+                case api.Shed(command, come_back_after):
+                    if held := self._owed(command):
+                        self._answer(held, front.encode_shed(held.taken.seqid, come_back_after), "shed")
+                case api.Fail(command):
+                    if held := self._owed(command):
+                        self._answer(held, front.encode_failure(held.taken.seqid, "not answered"), "failed")
+                case api.Wake(at, token):
+                    heapq.heappush(self._timers, (at, token))
+                case _:
+                    self.supervisor.invariants.hold(f"{type(action).__name__} is never asked for here", False)
+
+    def _owed(self, command: int) -> Held | None:
+        """The command, where an answer is still owed: the client may have left a moment ago."""
+        held = self._held.get(command)
+        return held if held is not None and held.open else None
+
+    def _send(self, action: api.Send) -> None:
+        held = self._held.get(action.command)
+        if held is None:  # it left, or the module began anew, in this very round
+            return
+        number, actor = len(held.sends), self._engines.get(action.engine)
+        held.sends.append(actor)
+        held.out.add(number)
+        usable = held.open and number < self._started.allowed.sends
+        if actor is None or not usable:
+            self.post(SendEnded(held.id, number, action.engine, Outcome.MOOT, 0))
+            return
+        taken = held.taken
+        ends_at = min(self._now + action.time_out, taken.ends_by) if action.time_out else taken.ends_by
+        profile = self._deployment.profiles[taken.fields.profile]
+        self.supervisor.counters.add(f"sent {profile}")
+        actor.post(
+            StartSend(
+                held.id, number, self._now, ends_at, taken.fields.call, profile, taken.statement,
+                taken.fields.mark, held.priority,
+            )  # fmt: skip
+        )
+
+    def _cancel(self, held: Held, number: int) -> None:
+        if number in held.out and (actor := held.sends[number]) is not None:
+            actor.post(CancelSend(held.id, number))
+
+    def _set_priority(self, held: Held, priority: int) -> None:
+        held.priority = priority
+        for number in held.out:
+            if (actor := held.sends[number]) is not None:
+                actor.post(SetPriority(held.id, number, priority))
+
+    # Endings
+
+    def _answer(self, held: Held, frame: bytes, how: str) -> None:
+        profile = self._deployment.profiles[held.taken.fields.profile]
+        self.supervisor.counters.add(f"{how} {profile}")
+        held.taken.client.post(Reply(frame, held.taken))
+        self._close(held)
+
+    def _close(self, held: Held) -> None:
+        held.open = False
+        held.taken.statement = b""
+        self._by_taken.pop(held.taken, None)
+        self._calls.discard(held.taken.fields.call)
+        self._forget(held)
+
+    def _forget(self, held: Held) -> None:
+        if not held.open and not held.out:
+            self._held.pop(held.id, None)
+
+    # Timers
+
+    def _arm(self) -> None:
+        if not self._timers or (self._armed and self._armed[0] <= self._timers[0][0]):
+            return
+        if self._armed:
+            self._armed[1].cancel()
+        at = self._timers[0][0]
+        delay = max(0, at - self._clock.now()) / US
+        self._armed = (at, asyncio.get_running_loop().call_later(delay, self._ring))
+
+    def _ring(self) -> None:
+        self._armed = None
+        self.post(Ring())
+
+
+def marked_profiles(deployment: Deployment) -> tuple[bool, ...]:
+    return tuple(profile.effect is Effect.UNIQUED for profile in deployment.started.profiles)
--- /dev/null
+++ b/lotusstream/net/engine.py
@@ -0,0 +1,286 @@
+"""One engine: the sends that are out there, the asking after them, and the pages of their results."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lotusstream import interface as api
+from lotusstream.interface import Outcome
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.clock import Clock
+from lotusstream.net.connection import (
+    US,
+    CallBroken,
+    CannotConnect,
+    Connection,
+    Endpoint,
+    NoDescriptor,
+    Pool,
+    Refused,
+    SocketBudget,
+)
+from lotusstream.protocol import http
+
+
+@dataclass(frozen=True, slots=True)
+class StartSend:
+    command: int
+    number: int
+    at: int
+    ends_at: int
+    call: str
+    profile: str
+    statement: bytes
+    mark: str | None
+    priority: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class CancelSend:
+    command: int
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class SetPriority:
+    command: int
+    number: int
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """What the list says of this engine now."""
+
+    ready: bool
+    restarted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SendEnded:
+    command: int
+    number: int
+    engine: api.EngineId
+    outcome: Outcome
+    latency: int
+    work: int | None = None
+    memory_mb: float | None = None
+    rows: bytes | None = None
+
+
+EngineMessage = StartSend | CancelSend | SetPriority | Listed
+Report = Callable[[SendEnded | api.Noted], None]
+
+
+class Running:
+    """A send from its start until the connection that asks after it is free again."""
+
+    def __init__(self, start: StartSend) -> None:
+        self.start = start
+        self.posted = False  # its first byte may have gone out
+        self.cancelled = False
+        self.ended = False  # its outcome has been told
+        self.task: asyncio.Task[None] | None = None
+
+
+class EngineActor(Actor[EngineMessage]):
+    def __init__(
+        self,
+        engine: api.EngineId,
+        endpoint: Endpoint,
+        budget: SocketBudget,
+        connect_timeout: int,
+        idle_timeout: int,
+        clock: Clock,
+        report: Report,
+        supervisor: Supervisor,
+    ) -> None:
+        super().__init__(f"engine {engine.decode()}", supervisor)
+        self.engine, self.endpoint, self.ready = engine, endpoint, True
+        self._host = f"{endpoint[0]}:{endpoint[1]}"
+        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES)
+        self._clock, self._report = clock, report
+        self._running: dict[tuple[int, int], Running] = {}
+
+    async def receive(self, message: EngineMessage) -> None:
+        match message:
+            case StartSend():
+                running = self._running[message.command, message.number] = Running(message)
+                running.task = self.supervisor.start(f"{self.name} send", self._run(running))
+            case CancelSend(command, number):
+                if found := self._running.get((command, number)):
+                    self._cancel(found)
+            case SetPriority(command, number, priority):
+                if (found := self._running.get((command, number))) and found.posted and not found.ended:
+                    self.supervisor.start(f"{self.name} priority", self._set_priority(found, priority))
+            case Listed(ready, restarted):
+                self.ready = ready
+                if restarted or not ready:
+                    self._pool.clear()
+
+    def trim(self) -> None:
+        self._pool.trim(self._clock.now())
+
+    def close(self) -> None:
+        self._pool.clear()
+
+    # A send
+
+    async def _run(self, running: Running) -> None:
+        start = running.start
+        try:
+            async with asyncio.timeout(max(0, start.ends_at - self._clock.now()) / US):
+                await self._exchange(running)
+        except TimeoutError:
+            self._end(running, Outcome.TIMED_OUT)
+            if running.posted:
+                self.supervisor.start(f"{self.name} delete", self._delete(running))
+        finally:
+            # whatever went wrong: what has gone out may have run, the rest has not
+            self._end(running, Outcome.RESET if running.posted else Outcome.MOOT)
+            self._running.pop((start.command, start.number), None)
+
+    async def _exchange(self, running: Running) -> None:
+        start = running.start
+        try:
+            connection = await self._pool.get(self._clock.now())
+        except NoDescriptor:
+            self.supervisor.counters.add("sends without a descriptor")
+            return self._end(running, Outcome.MOOT)
+        except CannotConnect:
+            return self._end(running, Outcome.CONNECT_FAILED)
+        if not self.ready or running.cancelled:  # since it was started: nothing new goes out
+            connection.close()
+            return self._end(running, Outcome.CANCELLED if running.cancelled else Outcome.MOOT)
+        left = start.ends_at - self._clock.now()
+        headers = http.start_headers(start.call, start.profile, left, start.mark, start.priority)
+        request = http.request("POST", "/x", self._host, headers, start.statement)
+        running.posted = True
+        self.supervisor.counters.add("sends posted")
+        news_call = http.request("GET", f"/x/{start.call}/0", self._host, {})
+        while not running.ended:
+            connection, answer = await self._ask(running, connection, request, news_call)
+            if answer is None:
+                return self._end(running, Outcome.RESET)
+            news = http.query_news(answer)
+            if news.news is http.News.RUNNING:
+                if news.note is not None and not running.ended:
+                    self._report(api.Noted(start.command, start.number, self.engine, news.note, news.amount))
+                if not answer.reusable:
+                    connection.close()
+                    connection = await self._pool.get(self._clock.now())
+                request = news_call
+                continue
+            if news.news is http.News.DONE:
+                await self._collect(running, connection, answer, news)
+                return None
+            self._pool.put_back(connection, answer, self._clock.now())
+            outcome = {http.News.FULL: Outcome.FULL, http.News.OVER: Outcome.MOOT}
+            return self._end(running, outcome.get(news.news, Outcome.ERROR))
+        connection.close()
+        return None
+
+    async def _ask(
+        self, running: Running, connection: Connection, request: bytes, again: bytes
+    ) -> tuple[Connection, http.Answer | None]:
+        """The answer; asked for again on a new connection where one breaks or is silent. None: the engine's
+        process has ended, and what it ran with it."""
+        while True:
+            try:
+                return connection, await connection.call(request, http.PATIENCE)
+            except CallBroken as error:
+                connection.close()
+                self.supervisor.counters.add("calls broken")
+                self.supervisor.log.say("call broken", f"{self.name}: {error}")
+            except BaseException:
+                connection.close()
+                raise
+            request = again
+            while True:
+                if running.ended:
+                    return connection, None
+                began = self._clock.now()
+                try:
+                    connection = await self._pool.get(began, fresh=True)
+                    break
+                except Refused:
+                    return connection, None
+                except CannotConnect:
+                    pause = began + self._pool.connect_timeout - self._clock.now()
+                    await asyncio.sleep(max(0, pause) / US)
+
+    async def _collect(
+        self, running: Running, connection: Connection, answer: http.Answer, news: http.QueryNews
+    ) -> None:
+        """Answered means all pages: a page that is lost is an error of the send, which has run."""
+        call, rows = running.start.call, bytearray()
+        for number in range(news.pages):
+            if number:
+                request = http.request("GET", f"/x/{call}/{number}", self._host, {})
+                connection, more = await self._ask(running, connection, request, request)
+                if more is None:
+                    return self._end(running, Outcome.RESET)
+                answer = more
+            page = http.page_rows(answer, number)
+            if page is None or len(rows) + len(page) > http.RESULT_BYTES:
+                self._pool.put_back(connection, answer, self._clock.now())
+                self.supervisor.log.say("page lost", f"{self.name}: page {number} of {news.pages}, {answer.status}")
+                return self._end(running, Outcome.ERROR)
+            rows += page
+            if not answer.reusable and number + 1 < news.pages:
+                connection.close()
+                connection = await self._pool.get(self._clock.now())
+        self._pool.put_back(connection, answer, self._clock.now())
+        return self._end(running, Outcome.ANSWERED, news, bytes(rows))
+
+    def _end(
+        self, running: Running, outcome: Outcome, news: http.QueryNews | None = None, rows: bytes | None = None
+    ) -> None:
+        if running.ended:
+            return
+        running.ended = True
+        if running.cancelled and outcome is not Outcome.ANSWERED:
+            outcome = Outcome.CANCELLED
+        start, work, memory = running.start, news.work if news else None, news.memory_mb if news else None
+        latency = self._clock.now() - start.at
+        self._report(
+            SendEnded(start.command, start.number, self.engine, outcome, latency, work, memory, rows)
+        )
+
+    # Ending and changing sends: on connections of their own, never behind a call that waits for news
+
+    def _cancel(self, running: Running) -> None:
+        if running.cancelled or running.ended:
+            return
+        running.cancelled = True
+        if running.posted:
+            self.supervisor.start(f"{self.name} delete", self._delete(running))
+        elif running.task is not None:
+            running.task.cancel()
+
+    async def _delete(self, running: Running) -> None:
+        try:
+            await self._tell(http.request("DELETE", f"/x/{running.start.call}", self._host, {}))
+        finally:
+            self._end(running, Outcome.CANCELLED)
+
+    async def _set_priority(self, running: Running, priority: int) -> None:
+        body = str(priority).encode()
+        await self._tell(http.request("PUT", f"/x/{running.start.call}", self._host, {}, body))
+
+    async def _tell(self, request: bytes) -> None:
+        connection: Connection | None = None
+        try:
+            connection = await self._pool.get(self._clock.now(), ends_things=True)
+            answer = await connection.call(request, http.PATIENCE)
+            self._pool.put_back(connection, answer, self._clock.now())
+        except CannotConnect:
+            self.supervisor.counters.add("calls not connected")
+        except BaseException as error:
+            if connection is not None:
+                connection.close()
+            if not isinstance(error, CallBroken):
+                raise
+            self.supervisor.counters.add("calls broken")
--- /dev/null
+++ b/lotusstream/net/gateway.py
@@ -0,0 +1,146 @@
+"""Puts the gateway together. Embeddable: `start` and `stop` it on any running loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from dataclasses import dataclass
+from typing import Any
+
+from lotusstream.deployment import Deployment, UnusableSettings, read_settings
+from lotusstream.net.actor import Supervisor
+from lotusstream.net.client import ClientConnection
+from lotusstream.net.clock import Clock
+from lotusstream.net.connection import US, Endpoint, SocketBudget
+from lotusstream.net.decider import Decider, marked_profiles
+from lotusstream.net.engine_list import EngineList
+from lotusstream.protocol import http, notices
+
+MS = 1000
+COME_ON = 600 * MS  # after a planned stop is told: connections and commands still come
+KILLED_AFTER = 700 * MS  # more than the longest client timeout, itself counted up to the next figure
+LONGEST_WAIT = 3000 * MS
+
+
+class UnusableConfiguration(Exception):
+    """One line that says what is wrong."""
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    name: str
+    listen: Endpoint
+    board: Endpoint
+    descriptors: int
+    deployment: Deployment
+    known: notices.Notices
+
+
+def read_configuration(text: str) -> Configuration:
+    try:
+        raw: dict[str, Any] = json.loads(text)
+        listen, board = (notices.parse_endpoint(raw[name]) for name in ("listen", "board"))
+        if listen is None or board is None:
+            raise UnusableConfiguration("configuration: 'listen' and 'board' are to be host:port")
+        deployment = read_settings(int(raw["seed"], 16) % 2**64, raw["settings"])
+        return Configuration(
+            name=str(raw["name"]),
+            listen=listen,
+            board=board,
+            descriptors=int(raw["limits"]["sockets"]),
+            deployment=deployment,
+            known=notices.read_notices(raw["known"], deployment),
+        )
+    except KeyError as error:
+        raise UnusableConfiguration(f"configuration: {error} is missing") from error
+    except (ValueError, TypeError, AttributeError, RecursionError) as error:
+        raise UnusableConfiguration(f"configuration: {error}") from error
+    except (UnusableSettings, notices.UnreadableNotices) as error:
+        raise UnusableConfiguration(f"configuration: {error}") from error
+
+
+class GatewayServer:
+    def __init__(self, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self.supervisor, self._clock = Supervisor(), Clock()
+        most = configuration.descriptors
+        engines = SocketBudget(most - most // 3 - most // 16)  # clients hold a third at most
+        deployment = configuration.deployment
+        self._marked = marked_profiles(deployment)
+        self._decider = Decider(deployment, engines, self._clock, self.supervisor)
+        self._list = EngineList(
+            configuration.board, deployment, self._clock, self._decider.post, self.supervisor
+        )
+        self._listener: socket.socket | None = None
+        self._stopping = False
+
+    @property
+    def address(self) -> Endpoint:
+        assert self._listener is not None
+        host, port = self._listener.getsockname()
+        return host, port
+
+    async def start(self) -> None:
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setblocking(False)
+            listener.bind(self._configuration.listen)
+            listener.listen(1024)
+        except OSError as error:
+            listener.close()
+            raise UnusableConfiguration(f"listen: {error}") from error
+        self._listener = listener
+        self._list.apply(self._configuration.known)
+        self._decider.start()
+        self._list.start()
+        self.supervisor.start("poll", self._list.poll())
+        self.supervisor.start("accept", self._accept(listener))
+        self.supervisor.start("watch", self._watch())
+
+    def _good(self) -> bool:
+        return self._decider.listed and not self._stopping
+
+    async def _accept(self, listener: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(listener)
+            except OSError as error:  # out of descriptors, or the peer has left already
+                self.supervisor.counters.add("accepts failed")
+                self.supervisor.log.say("accept", str(error))
+                await asyncio.sleep(0.01)
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.supervisor.counters.add("client connections")
+            client = ClientConnection(
+                sock, self._configuration.deployment, self._marked, self._clock, self._decider.post,
+                self._good, self.supervisor,
+            )  # fmt: skip
+            self.supervisor.start("client", client.serve())
+
+    async def _watch(self) -> None:
+        """The loop's longest stall, and idle connections."""
+        pause = 50 * MS
+        while True:
+            before = self._clock.now()
+            await asyncio.sleep(pause / US)
+            self.supervisor.counters.peak("stall of the loop, us", self._clock.now() - before - pause)
+            self._decider.trim()
+
+    async def drain(self) -> None:
+        """A planned stop: takes what still comes, and returns once all is answered or time is up."""
+        self._stopping = True
+        began = self._clock.now()
+        longest = max(profile.client_timeout for profile in self._configuration.deployment.started.profiles)
+        by = began + min(longest, LONGEST_WAIT) + KILLED_AFTER
+        while self._clock.now() < by - http.NEWS_WAIT:
+            if self._clock.now() >= began + KILLED_AFTER and not self._decider.open_commands:
+                break
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        await self.supervisor.stop()
--- /dev/null
+++ b/lotusstream/protocol/front.py
@@ -0,0 +1,225 @@
+"""Messages between clients and the gateway: framed Thrift, strict binary protocol."""
+
+from __future__ import annotations
+
+import re
+import struct
+from dataclasses import dataclass
+from typing import Any
+
+from thrift.protocol.TBinaryProtocol import TBinaryProtocol
+from thrift.protocol.TProtocol import TProtocolException
+from thrift.Thrift import TApplicationException, TMessageType, TType
+from thrift.transport.TTransport import TMemoryBuffer
+
+FRAME = struct.Struct("!i")
+LONGEST_FRAME = 1 << 20
+MOST_FIELDS = 256
+MOST_OPEN = 32  # on one connection
+MS = 1000
+
+_CALL = re.compile(r"[0-9a-f]{16}\Z")
+_HEADER_VALUE = re.compile(r"[\x21-\x7e]{1,256}\Z")
+_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?\Z")
+
+
+class BrokenFrame(Exception):
+    """The stream of frames can't be read on."""
+
+
+class UnusableMessage(Exception):
+    """One message that can't be used; `seqid` is known."""
+
+    def __init__(self, seqid: int, kind: int, why: str) -> None:
+        super().__init__(why)
+        self.seqid, self.kind = seqid, kind
+
+
+class UnusableCommand(Exception):
+    """A message whose fields can't be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    seqid: int
+    fields: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class GiveUp:
+    seqid: int  # of the command that is given up
+
+
+@dataclass(frozen=True, slots=True)
+class FrontProbe:
+    seqid: int
+
+
+@dataclass(frozen=True, slots=True)
+class CommandFields:
+    """What a client says of its command, in this project's units."""
+
+    profile: int
+    call: str
+    time_left: int
+    mark: str | None
+    hint: int | None
+    memory_mb: float | None
+
+
+def frame_length(data: memoryview) -> int | None:
+    """The length of the frame that begins here, or None while too little has come."""
+    if len(data) < FRAME.size:
+        return None
+    (length,) = FRAME.unpack_from(data)
+    if not 0 < length <= LONGEST_FRAME:
+        raise BrokenFrame(f"a frame of {length} bytes")
+    return int(length)
+
+
+def _text_map(protocol: TBinaryProtocol) -> dict[str, str]:
+    key_type, value_type, size = protocol.readMapBegin()
+    if size and (key_type, value_type) != (TType.STRING, TType.STRING):
+        raise TProtocolException(TProtocolException.INVALID_DATA, "a map of other types than text")
+    return {protocol.readString(): protocol.readString() for _ in range(size)}
+
+
+_READERS: dict[int, Any] = {
+    TType.MAP: _text_map,
+    TType.STRING: TBinaryProtocol.readBinary,
+    TType.I32: TBinaryProtocol.readI32,
+    TType.BOOL: TBinaryProtocol.readBool,
+}
+_ARGUMENTS = {
+    "process": {1: TType.MAP, 2: TType.STRING},
+    "giveUp": {1: TType.I32},
+    "probe": {1: TType.BOOL},
+}
+
+
+def _arguments(protocol: TBinaryProtocol, known: dict[int, int]) -> dict[int, Any]:
+    values: dict[int, Any] = {}
+    protocol.readStructBegin()
+    while True:
+        _, kind, number = protocol.readFieldBegin()
+        if kind == TType.STOP:
+            return values
+        if known.get(number) == kind:
+            values[number] = _READERS[kind](protocol)
+        else:
+            protocol.skip(kind)
+
+
+def decode(frame: bytes) -> Process | GiveUp | FrontProbe:
+    protocol = TBinaryProtocol(
+        TMemoryBuffer(frame),
+        strictRead=True,
+        string_length_limit=len(frame),
+        container_length_limit=MOST_FIELDS,
+    )
+    try:
+        method, kind, seqid = protocol.readMessageBegin()
+    except Exception as error:  # the codec lets errors of many kinds through
+        raise BrokenFrame(f"no message: {error!r}") from error
+    if kind not in (TMessageType.CALL, TMessageType.ONEWAY):
+        raise BrokenFrame(f"a message of type {kind}")
+    if method not in _ARGUMENTS:
+        raise UnusableMessage(seqid, TApplicationException.UNKNOWN_METHOD, "unknown method")
+    try:
+        values = _arguments(protocol, _ARGUMENTS[method])
+        if method == "probe":
+            return FrontProbe(seqid)
+        if method == "giveUp":
+            return GiveUp(values[1])
+        return Process(seqid, values[1], values[2])
+    except Exception as error:  # as above
+        raise UnusableMessage(seqid, TApplicationException.PROTOCOL_ERROR, f"unusable: {error!r}") from error
+
+
+def _number(fields: dict[str, str], name: str) -> float | None:
+    if name not in fields:
+        return None
+    if not _NUMBER.match(fields[name]):
+        raise UnusableCommand(f"{name} is no number")
+    return float(fields[name])
+
+
+def command_fields(fields: dict[str, str], profiles: tuple[str, ...], marked: tuple[bool, ...]) -> CommandFields:
+    """`marked`: for each profile, whether its commands carry a mark against repeats."""
+    profile, call, mark = fields.get("op"), fields.get("call", ""), fields.get("dedupe")
+    if profile not in profiles:
+        raise UnusableCommand("op names no profile")
+    if not _CALL.match(call):
+        raise UnusableCommand("call is no id")
+    if mark is not None and not _HEADER_VALUE.match(mark):
+        raise UnusableCommand("dedupe is no mark")
+    index = profiles.index(profile)
+    if marked[index] and mark is None:
+        raise UnusableCommand("dedupe is missing")
+    ttl, work = _number(fields, "ttl"), _number(fields, "work")
+    if ttl is None:
+        raise UnusableCommand("ttl is missing")
+    return CommandFields(
+        profile=index,
+        call=call,
+        time_left=int(ttl * MS),
+        mark=mark,
+        hint=int(work * MS) if work else None,
+        memory_mb=_number(fields, "mem") or None,
+    )
+
+
+def _message(method: str, kind: int, seqid: int) -> TBinaryProtocol:
+    protocol = TBinaryProtocol(TMemoryBuffer())
+    protocol.writeMessageBegin(method, kind, seqid)
+    return protocol
+
+
+def _frame(protocol: TBinaryProtocol) -> bytes:
+    message: bytes = protocol.trans.getvalue()
+    return FRAME.pack(len(message)) + message
+
+
+def _write_map(protocol: TBinaryProtocol, number: int, fields: dict[str, str]) -> None:
+    protocol.writeFieldBegin("fields", TType.MAP, number)
+    protocol.writeMapBegin(TType.STRING, TType.STRING, len(fields))
+    for name, value in fields.items():
+        protocol.writeString(name)
+        protocol.writeString(value)
+
+
+def encode_answer(method: str, seqid: int, body: bytes, good: bool) -> bytes:
+    protocol = _message(method, TMessageType.REPLY, seqid)
+    protocol.writeFieldBegin("success", TType.STRUCT, 0)
+    protocol.writeFieldBegin("body", TType.STRING, 1)
+    protocol.writeBinary(body)
+    _write_map(protocol, 2, {})
+    protocol.writeFieldBegin("good", TType.BOOL, 3)
+    protocol.writeBool(good)
+    protocol.writeFieldStop()
+    protocol.writeFieldStop()
+    return _frame(protocol)
+
+
+def _encode_declared(seqid: int, number: int, fields: dict[str, str]) -> bytes:
+    protocol = _message("process", TMessageType.REPLY, seqid)
+    protocol.writeFieldBegin("exception", TType.STRUCT, number)
+    _write_map(protocol, 1, fields)
+    protocol.writeFieldStop()
+    protocol.writeFieldStop()
+    return _frame(protocol)
+
+
+def encode_shed(seqid: int, come_back_after: int) -> bytes:
+    return _encode_declared(seqid, 1, {"pushback": str(come_back_after // MS)} if come_back_after else {})
+
+
+def encode_failure(seqid: int, why: str) -> bytes:
+    return _encode_declared(seqid, 2, {"reason": why})
+
+
+def encode_fault(method: str, seqid: int, kind: int, why: str) -> bytes:
+    protocol = _message(method, TMessageType.EXCEPTION, seqid)
+    TApplicationException(kind, why).write(protocol)
+    return _frame(protocol)
--- /dev/null
+++ b/lotusstream/protocol/notices.py
@@ -0,0 +1,85 @@
+"""The notice board's events: changes of the list of engines."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from lotusstream import interface as api
+from lotusstream.deployment import Deployment
+
+STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
+UNKNOWN_KIND = 2**16 - 1
+
+
+class UnreadableNotices(Exception):
+    """Not the form of the notice board."""
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    engine: api.Engine
+    endpoint: tuple[str, int] | None
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    rev: int
+    whole: bool
+    listed: tuple[Listed, ...]
+    unreadable: int
+
+
+@dataclass(frozen=True, slots=True)
+class Notices:
+    rev: int
+    notices: tuple[Notice, ...]
+
+
+def parse_endpoint(text: Any) -> tuple[str, int] | None:
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    return (host, int(port)) if host and port.isascii() and port.isdigit() and int(port) < 65536 else None
+
+
+def _entry(raw: Any, deployment: Deployment) -> Listed | None:
+    """An engine that can't be used is taken as draining: nothing goes there, what runs may end."""
+    if not isinstance(raw, dict) or not isinstance(uid := raw.get("uid"), str) or not uid:
+        return None
+    endpoint, boot, cell = parse_endpoint(raw.get("endpoint")), raw.get("boot_ms"), raw.get("pod_group")
+    state = STATES.get(str(raw.get("state")), api.State.DRAINING)
+    if endpoint is None and state is api.State.READY:
+        state = api.State.DRAINING
+    zone, kind = raw.get("az"), raw.get("model")
+    engine = api.Engine(
+        id=uid.encode(),
+        state=state,
+        zone=deployment.zones.index(zone) if zone in deployment.zones else -1,
+        cell=cell if isinstance(cell, int) else -1,
+        kind=deployment.kinds.index(kind) if kind in deployment.kinds else UNKNOWN_KIND,
+        started=int(boot * 1000) if isinstance(boot, int | float) and 0 < boot < 2**50 else 0,
+    )
+    return Listed(engine, endpoint)
+
+
+def read_notices(raw: Any, deployment: Deployment) -> Notices:
+    try:
+        rev, found = raw["rev"], []
+        for item in raw["notices"]:
+            pool = item.get("pool") or {}
+            entries = [_entry(entry, deployment) for entry in pool.get("targets") or ()]
+            listed = tuple(entry for entry in entries if entry is not None)
+            found.append(Notice(item["rev"], bool(pool.get("all")), listed, len(entries) - len(listed)))
+        if not isinstance(rev, int) or not all(isinstance(notice.rev, int) for notice in found):
+            raise UnreadableNotices("a number is not one")
+    except (KeyError, TypeError, AttributeError) as error:
+        raise UnreadableNotices(repr(error)) from error
+    return Notices(rev, tuple(found))
+
+
+def parse_notices(body: bytes, deployment: Deployment) -> Notices:
+    try:
+        raw = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise UnreadableNotices(repr(error)) from error
+    return read_notices(raw, deployment)
