--- a/lotusstream/deployment.py
+++ b/lotusstream/deployment.py
@@ -1,4 +1,4 @@
-"""Reads the settings object of a deployment: what the decision module starts with, and the protocol's limits."""
+"""Reads the settings object of a deployment: what the module starts with, and the protocol's limits."""
 
 from __future__ import annotations
 
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -209,6 +209,13 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """A planned stop: all is to be answered by then."""
+
+    by: int
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     engine: EngineId
@@ -222,7 +229,7 @@
     """All that is known at this time has been told."""
 
 
-Event = Started | EngineNews | Arrived | Ended | Noted | ClientGone | Woken | Probed | Settled
+Event = Started | EngineNews | Arrived | Ended | Noted | ClientGone | Woken | Probed | Stopping | Settled
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/actor.py
+++ b/lotusstream/net/actor.py
@@ -5,7 +5,7 @@
 import asyncio
 import traceback
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, Generic, TypeVar
 
 from lotusstream.counters import Counters
@@ -13,6 +13,7 @@
 from lotusstream.log import Log
 
 Message = TypeVar("Message")
+RESTART_PAUSE = 0.1  # seconds, so that what fails at once does not take the core
 
 
 class Mailbox(Generic[Message]):
@@ -20,6 +21,9 @@
         self._messages: deque[Message] = deque()
         self._filled = asyncio.Event()
 
+    def __len__(self) -> int:
+        return len(self._messages)
+
     def put(self, message: Message) -> None:
         self._messages.append(message)
         self._filled.set()
@@ -33,9 +37,6 @@
         self._filled.clear()
         return None
 
-    def __len__(self) -> int:
-        return len(self._messages)
-
 
 class Supervisor:
     """Holds the running tasks. One that fails is counted and logged, and leaves the rest running."""
@@ -51,11 +52,27 @@
         task.add_done_callback(self._ended)
         return task
 
+    def keep(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """As `start`, and begun anew whenever it fails."""
+
+        async def again() -> None:
+            while True:
+                try:
+                    return await work()
+                except Exception as error:
+                    self.failed(name, error)
+                    await asyncio.sleep(RESTART_PAUSE)
+
+        self.start(name, again())
+
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and (error := task.exception()) is not None:
-            self.counters.add("tasks failed")
-            self.log.say("task failed", task.get_name() + "\n" + "".join(traceback.format_exception(error)))
+            self.failed(task.get_name(), error)
+
+    def failed(self, name: str, error: BaseException) -> None:
+        self.counters.add("failed tasks")
+        self.log.say("failed", f"{name}\n{''.join(traceback.format_exception(error))}")
 
     async def stop(self) -> None:
         tasks = list(self._tasks)
@@ -70,9 +87,15 @@
     def __init__(self, name: str, supervisor: Supervisor) -> None:
         self.name, self.supervisor = name, supervisor
         self.mailbox: Mailbox[Message] = Mailbox()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        self._task = self.supervisor.start(self.name, self.run())
 
-    def start(self) -> asyncio.Task[None]:
-        return self.supervisor.start(self.name, self.run())
+    async def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
 
     def post(self, message: Message) -> None:
         self.mailbox.put(message)
@@ -84,12 +107,7 @@
                 try:
                     await self.receive(message)
                 except Exception as error:
-                    self.supervisor.counters.add("messages failed")
-                    self.supervisor.log.say(
-                        "message failed",
-                        f"{self.name}, {type(message).__name__}\n"
-                        + "".join(traceback.format_exception(error)),
-                    )
+                    self.supervisor.failed(f"{self.name}, {type(message).__name__}", error)
 
     async def receive(self, message: Message) -> None:
         raise NotImplementedError
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -45,6 +46,31 @@
 ClientReport = Callable[[TakenCommand | ClientLeft], None]
 
 
+class Unread:
+    """Answers that clients have not taken yet. Guards memory against slow readers: over the limit, the one
+    with the most is cut off, and its commands end as those of a client that left."""
+
+    def __init__(self, most: int) -> None:
+        self._most, self.total = most, 0
+        self._of: dict[ClientConnection, int] = {}
+
+    def add(self, client: ClientConnection, size: int) -> None:
+        self._of[client] = self._of.get(client, 0) + size
+        self.total += size
+        while self.total > self._most:
+            slowest = max(self._of, key=self._of.__getitem__)
+            self.forget(slowest)
+            slowest.cut_off()
+
+    def taken(self, client: ClientConnection, size: int) -> None:
+        if client in self._of:
+            self._of[client] -= size
+            self.total -= size
+
+    def forget(self, client: ClientConnection) -> None:
+        self.total -= self._of.pop(client, 0)
+
+
 class ClientConnection(Actor[Reply]):
     def __init__(
         self,
@@ -54,16 +80,33 @@
         clock: Clock,
         report: ClientReport,
         good: Callable[[], bool],
+        unread: Unread,
         supervisor: Supervisor,
     ) -> None:
         super().__init__("client", supervisor)
         self._sock, self._deployment, self._marked = sock, deployment, marked
-        self._clock, self._report, self._good = clock, report, good
+        self._clock, self._report, self._good, self._unread = clock, report, good, unread
+        self._cut_off = False
         self.open: dict[int, TakenCommand] = {}
 
+    def post(self, message: Reply) -> None:
+        if not self._cut_off:
+            super().post(message)
+            self._unread.add(self, len(message.frame))
+
+    def cut_off(self) -> None:
+        self.supervisor.counters.add("client connections cut off")
+        self._end()
+
+    def _end(self) -> None:
+        """Nothing more is written, and the reader comes to its end."""
+        self._cut_off = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     async def serve(self) -> None:
         """Reads until the client leaves; its open commands leave with it."""
-        writer = self.start()
+        self.start()
         buffer = Buffer(4096, front.FRAME.size + front.LONGEST_FRAME)
         loop = asyncio.get_running_loop()
         try:
@@ -82,21 +125,23 @@
         except OSError:
             self.supervisor.counters.add("client connections reset")
         finally:
-            writer.cancel()
+            self._cut_off = True
             for command in list(self.open.values()):
                 self._report(ClientLeft(command))
             self.open.clear()
-            await asyncio.gather(writer, return_exceptions=True)
+            self._unread.forget(self)
+            await self.stop()
             self._sock.close()
 
     async def receive(self, message: Reply) -> None:
+        if message.ends is not None and self.open.pop(message.ends.seqid, None) is None:
+            self._unread.taken(self, len(message.frame))
+            return  # given up a moment ago: no answer is owed
         try:
             await asyncio.get_running_loop().sock_sendall(self._sock, message.frame)
+            self._unread.taken(self, len(message.frame))
         except OSError:
-            self._sock.shutdown(socket.SHUT_RDWR)  # the reader sees it and ends the connection
-        finally:
-            if message.ends is not None and self.open.get(message.ends.seqid) is message.ends:
-                del self.open[message.ends.seqid]
+            self._end()
 
     def _handle(self, frame: bytes, at: int) -> None:
         try:
@@ -104,7 +149,8 @@
         except front.UnusableMessage as error:
             self.supervisor.counters.add("messages unusable")
             self.supervisor.log.say("client", str(error))
-            self.post(Reply(front.encode_fault("process", error.seqid, error.kind, str(error))))
+            if error.fault is not None:
+                self.post(Reply(error.fault))
             return
         match message:
             case front.FrontProbe(seqid):
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -28,6 +28,10 @@
     """A call went out, at least in part, and no whole answer came back."""
 
 
+class CallGarbled(CallBroken):
+    """What came back is no answer: asking again would bring no other."""
+
+
 class SocketBudget:
     """How many connections may be open at once. The last few are kept back for calls that end things."""
 
@@ -110,7 +114,9 @@
                     data = self._buffer.data()
                     self._buffer.use(len(data))
                     reader.feed(data)
-        except (OSError, http.BrokenAnswer, BufferFull) as error:
+        except (http.BrokenAnswer, BufferFull) as error:
+            raise CallGarbled(repr(error)) from error
+        except OSError as error:  # a time-out is one too
             raise CallBroken(repr(error)) from error
         return reader.answer
 
@@ -126,7 +132,12 @@
     """The connections to one address. Idle ones are closed well before the other side does it."""
 
     def __init__(
-        self, endpoint: Endpoint, budget: SocketBudget, connect_timeout: int, idle_timeout: int, longest_body: int
+        self,
+        endpoint: Endpoint,
+        budget: SocketBudget,
+        connect_timeout: int,
+        idle_timeout: int,
+        longest_body: int,
     ) -> None:
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
         self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -14,7 +14,7 @@
 from lotusstream.net.client import ClientLeft, Reply, TakenCommand
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, SocketBudget
-from lotusstream.net.engine import CancelSend, EngineActor, Listed, SendEnded, SetPriority, StartSend
+from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, SendEnded, SetPriority, StartSend
 from lotusstream.policy import Gateway
 from lotusstream.protocol import front, notices
 
@@ -35,24 +35,32 @@
     """A timer of the module has come due."""
 
 
-DeciderMessage = TakenCommand | ClientLeft | SendEnded | api.Noted | notices.Notice | Ring
+DeciderMessage = TakenCommand | ClientLeft | SendEnded | api.Noted | notices.Notice | api.Stopping | Ring
 
 
 class Decider(Actor[DeciderMessage]):
     def __init__(
-        self, deployment: Deployment, budget: SocketBudget, clock: Clock, supervisor: Supervisor
+        self,
+        deployment: Deployment,
+        budget: SocketBudget,
+        statement_bytes: int,
+        clock: Clock,
+        supervisor: Supervisor,
     ) -> None:
         super().__init__("decider", supervisor)
+        self._most_bytes, self._bytes = statement_bytes, 0
         self._deployment, self._budget, self._clock = deployment, budget, clock
         allowed = replace(deployment.started.allowed, probes=False, grants=False, must_subscribe=False)
         self._started = replace(deployment.started, allowed=allowed)  # what this protocol has no call for
         self._module = Gateway()
+        self._stopping: api.Stopping | None = None
         self._now = self._last_round = 0
         self._ids = 0
         self._held: dict[int, Held] = {}
         self._by_taken: dict[TakenCommand, Held] = {}
         self._calls: set[str] = set()
         self._engines: dict[api.EngineId, EngineActor] = {}
+        self._retired: set[EngineActor] = set()
         self._entries: dict[api.EngineId, api.Engine] = {}
         self._timers: list[tuple[int, int]] = []
         self._armed: tuple[int, asyncio.TimerHandle] | None = None
@@ -70,7 +78,10 @@
             pause = self._last_round + self._started.period - self._clock.now()
             if pause > 0:
                 await asyncio.sleep(pause / US)
-            self._round()
+            try:
+                self._round()
+            except Exception as error:
+                self.supervisor.failed("a round of the decider", error)
 
     # What is told
 
@@ -100,6 +111,9 @@
                 return message if message.command in self._held else None
             case notices.Notice():
                 return self._list(message)
+            case api.Stopping():
+                self._stopping = message
+                return message
         return None
 
     def _take(self, taken: TakenCommand) -> api.Event | None:
@@ -110,13 +124,16 @@
             counters.add("commands unusable")
             taken.client.post(Reply(front.encode_failure(taken.seqid, "call is open already"), taken))
             return None
-        if len(self._by_taken) >= (self._deployment.most_open or len(self._by_taken) + 1):
+        many = 0 < self._deployment.most_open <= len(self._by_taken)
+        if many or self._bytes + len(taken.statement) > self._most_bytes:
+            counters.add("commands past the limits")
             counters.add(f"shed {profile}")
             taken.client.post(Reply(front.encode_shed(taken.seqid, 0), taken))
             return None
         self._ids += 1
         held = self._held[self._ids] = self._by_taken[taken] = Held(self._ids, taken)
         self._calls.add(taken.fields.call)
+        self._bytes += len(taken.statement)
         fields, left = taken.fields, max(0, taken.ends_by - self._now)
         return api.Arrived(held.id, fields.profile, fields.hint, fields.memory_mb, left, taken.group, None)
 
@@ -130,11 +147,9 @@
 
     def _ended(self, told: SendEnded) -> api.Event | None:
         held = self._held.get(told.command)
-        if not self.supervisor.invariants.hold(
-            "a send ends once", held is not None and told.number in held.out
-        ):
+        once = held is not None and told.number in held.out
+        if not self.supervisor.invariants.hold("a send ends once", once) or held is None:
             return None
-        assert held is not None
         held.out.discard(told.number)
         self.supervisor.counters.add(f"sends {told.outcome.name.lower()}")
         if told.outcome is Outcome.ANSWERED and held.open:
@@ -143,15 +158,22 @@
         over = not held.open
         self._forget(held)
         return api.Ended(
-            told.command, told.number, told.engine, told.outcome, told.latency, over, told.work,
-            told.memory_mb, None,
-        )  # fmt: skip
+            command=told.command,
+            send=told.number,
+            engine=told.engine,
+            outcome=told.outcome,
+            latency=told.latency,
+            over=over,
+            work=told.work,
+            memory_mb=told.memory_mb,
+            report=None,
+        )
 
     def _list(self, notice: notices.Notice) -> api.Event:
         if notice.whole:
             named = {listed.engine.id for listed in notice.listed}
             for engine in [engine for engine in self._engines if engine not in named]:
-                self._engines[engine].post(Listed(ready=False, restarted=False))
+                self._engines[engine].post(ListedAs(ready=False, restarted=False))
                 self._entries[engine] = replace(self._entries[engine], state=api.State.GONE)
         for listed in notice.listed:
             self._know(listed)
@@ -166,29 +188,40 @@
         self._entries[entry.id] = entry
         if listed.endpoint and (actor is None or actor.endpoint != listed.endpoint):
             if actor is not None:
-                actor.post(Listed(ready=False, restarted=True))
+                self._retired.add(actor)
+                actor.post(ListedAs(ready=False, restarted=True))
             actor = self._engines[entry.id] = EngineActor(
-                entry.id, listed.endpoint, self._budget, self._deployment.connect_timeout,
-                self._deployment.idle_timeout, self._clock, self.post, self.supervisor,
-            )  # fmt: skip
+                entry.id,
+                listed.endpoint,
+                self._budget,
+                self._deployment.connect_timeout,
+                self._deployment.idle_timeout,
+                self._clock,
+                self.post,
+                self.supervisor,
+            )
             actor.start()
         if actor is not None:
             restarted = before is not None and before.started != entry.started
-            actor.post(Listed(entry.state is api.State.READY, restarted))
+            actor.post(ListedAs(entry.state is api.State.READY, restarted))
 
     def _drop_gone(self) -> None:
-        used = {actor for held in self._held.values() for actor in held.sends}
+        """Those of engines that are gone, or have moved, stay while a send of theirs is known."""
         for engine, entry in list(self._entries.items()):
-            actor = self._engines.get(engine)
-            if entry.state is api.State.GONE and actor not in used:
+            if entry.state is api.State.GONE:
                 del self._entries[engine]
-                if actor is not None:
-                    del self._engines[engine]
-                    actor.close()
+                if (actor := self._engines.pop(engine, None)) is not None:
+                    self._retired.add(actor)
+        used = {actor for held in self._held.values() for actor in held.sends}
+        for actor in self._retired - used:
+            self._retired.discard(actor)
+            actor.close()
 
     def trim(self) -> None:
         for actor in self._engines.values():
             actor.trim()
+        if self._retired:
+            self._drop_gone()
 
     # The module
 
@@ -201,7 +234,7 @@
             return self._begin_anew()
 
     def _begin_anew(self) -> list[api.Action]:
-        """What the module was about is unknown: every open command fails, and a new one starts from nothing."""
+        """What it was about is unknown: every open command fails, and a new module starts from nothing."""
         for held in list(self._by_taken.values()):
             self._answer(held, front.encode_failure(held.taken.seqid, "internal error"), "failed")
         for held in list(self._held.values()):
@@ -209,9 +242,9 @@
                 self._cancel(held, number)
         self._module = Gateway()
         self._timers.clear()
-        actions = list(self._module.handle(self._now, self._started))
         news = api.EngineNews(api.ListKind.FULL, tuple(self._entries.values()))
-        return actions + list(self._module.handle(self._now, news))
+        events = (self._started, news, self._stopping) if self._stopping else (self._started, news)
+        return [action for event in events for action in self._module.handle(self._now, event)]
 
     def _carry_out(self, actions: list[api.Action]) -> None:
         for action in actions:
@@ -257,9 +290,16 @@
         self.supervisor.counters.add(f"sent {profile}")
         actor.post(
             StartSend(
-                held.id, number, self._now, ends_at, taken.fields.call, profile, taken.statement,
-                taken.fields.mark, held.priority,
-            )  # fmt: skip
+                command=held.id,
+                number=number,
+                at=self._now,
+                ends_at=ends_at,
+                call=taken.fields.call,
+                profile=profile,
+                statement=taken.statement,
+                mark=taken.fields.mark,
+                priority=held.priority,
+            )
         )
 
     def _cancel(self, held: Held, number: int) -> None:
@@ -282,6 +322,7 @@
 
     def _close(self, held: Held) -> None:
         held.open = False
+        self._bytes -= len(held.taken.statement)
         held.taken.statement = b""
         self._by_taken.pop(held.taken, None)
         self._calls.discard(held.taken.fields.call)
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -13,6 +13,7 @@
 from lotusstream.net.connection import (
     US,
     CallBroken,
+    CallGarbled,
     CannotConnect,
     Connection,
     Endpoint,
@@ -51,7 +52,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class ListedAs:
     """What the list says of this engine now."""
 
     ready: bool
@@ -70,7 +71,7 @@
     rows: bytes | None = None
 
 
-EngineMessage = StartSend | CancelSend | SetPriority | Listed
+EngineMessage = StartSend | CancelSend | SetPriority | ListedAs
 Report = Callable[[SendEnded | api.Noted], None]
 
 
@@ -79,6 +80,7 @@
 
     def __init__(self, start: StartSend) -> None:
         self.start = start
+        self.priority = start.priority
         self.posted = False  # its first byte may have gone out
         self.cancelled = False
         self.ended = False  # its outcome has been told
@@ -113,9 +115,11 @@
                 if found := self._running.get((command, number)):
                     self._cancel(found)
             case SetPriority(command, number, priority):
-                if (found := self._running.get((command, number))) and found.posted and not found.ended:
-                    self.supervisor.start(f"{self.name} priority", self._set_priority(found, priority))
-            case Listed(ready, restarted):
+                if (found := self._running.get((command, number))) and not found.ended:
+                    found.priority = priority
+                    if found.posted:
+                        self.supervisor.start(f"{self.name} priority", self._set_priority(found))
+            case ListedAs(ready, restarted):
                 self.ready = ready
                 if restarted or not ready:
                     self._pool.clear()
@@ -125,6 +129,8 @@
 
     def close(self) -> None:
         self._pool.clear()
+        if self._task is not None:
+            self._task.cancel()
 
     # A send
 
@@ -144,6 +150,7 @@
 
     async def _exchange(self, running: Running) -> None:
         start = running.start
+        connection: Connection | None = None
         try:
             connection = await self._pool.get(self._clock.now())
         except NoDescriptor:
@@ -155,88 +162,82 @@
             connection.close()
             return self._end(running, Outcome.CANCELLED if running.cancelled else Outcome.MOOT)
         left = start.ends_at - self._clock.now()
-        headers = http.start_headers(start.call, start.profile, left, start.mark, start.priority)
+        headers = http.start_headers(start.call, start.profile, left, start.mark, running.priority)
         request = http.request("POST", "/x", self._host, headers, start.statement)
         running.posted = True
         self.supervisor.counters.add("sends posted")
         news_call = http.request("GET", f"/x/{start.call}/0", self._host, {})
-        while not running.ended:
-            connection, answer = await self._ask(running, connection, request, news_call)
-            if answer is None:
-                return self._end(running, Outcome.RESET)
+        while True:
+            answer = await self._ask(running, connection, request, news_call)
+            if isinstance(answer, Outcome):
+                return self._end(running, answer)
             news = http.query_news(answer)
-            if news.news is http.News.RUNNING:
-                if news.note is not None and not running.ended:
-                    self._report(api.Noted(start.command, start.number, self.engine, news.note, news.amount))
-                if not answer.reusable:
-                    connection.close()
-                    connection = await self._pool.get(self._clock.now())
-                request = news_call
-                continue
-            if news.news is http.News.DONE:
-                await self._collect(running, connection, answer, news)
-                return None
-            self._pool.put_back(connection, answer, self._clock.now())
-            outcome = {http.News.FULL: Outcome.FULL, http.News.OVER: Outcome.MOOT}
-            return self._end(running, outcome.get(news.news, Outcome.ERROR))
-        connection.close()
-        return None
+            if running.ended or news.news is not http.News.RUNNING:
+                break
+            if news.note is not None:
+                self._report(api.Noted(start.command, start.number, self.engine, news.note, news.amount))
+            connection, request = None, news_call
+        if news.news is http.News.DONE and not running.ended:
+            return await self._collect(running, answer, news)
+        outcome = {http.News.FULL: Outcome.FULL, http.News.OVER: Outcome.MOOT}
+        return self._end(running, outcome.get(news.news, Outcome.ERROR))
 
     async def _ask(
-        self, running: Running, connection: Connection, request: bytes, again: bytes
-    ) -> tuple[Connection, http.Answer | None]:
-        """The answer; asked for again on a new connection where one breaks or is silent. None: the engine's
-        process has ended, and what it ran with it."""
-        while True:
+        self, running: Running, connection: Connection | None, request: bytes, again: bytes
+    ) -> http.Answer | Outcome:
+        """The answer; asked for again on a new connection where one breaks or is silent, at once and then
+        with pauses. An outcome where none will come: the engine's process has ended, and what it ran with
+        it, or it speaks no sense."""
+        tries, began = 0, 0
+        while not running.ended:
+            pause = began + self._pool.connect_timeout - self._clock.now()
+            if tries > 1 and pause > 0:
+                await asyncio.sleep(pause / US)
+            began = self._clock.now()
             try:
-                return connection, await connection.call(request, http.PATIENCE)
-            except CallBroken as error:
-                connection.close()
+                connection = connection or await self._pool.get(began, fresh=tries > 0)
+                answer = await connection.call(request, http.PATIENCE)
+                self._pool.put_back(connection, answer, self._clock.now())
+                return answer
+            except Refused:
+                return Outcome.RESET
+            except CannotConnect:
+                self.supervisor.counters.add("calls not connected")
+            except BaseException as error:
+                if connection is not None:
+                    connection.close()
+                if not isinstance(error, CallBroken):
+                    raise
                 self.supervisor.counters.add("calls broken")
                 self.supervisor.log.say("call broken", f"{self.name}: {error}")
-            except BaseException:
-                connection.close()
-                raise
-            request = again
-            while True:
-                if running.ended:
-                    return connection, None
-                began = self._clock.now()
-                try:
-                    connection = await self._pool.get(began, fresh=True)
-                    break
-                except Refused:
-                    return connection, None
-                except CannotConnect:
-                    pause = began + self._pool.connect_timeout - self._clock.now()
-                    await asyncio.sleep(max(0, pause) / US)
-
-    async def _collect(
-        self, running: Running, connection: Connection, answer: http.Answer, news: http.QueryNews
-    ) -> None:
+                if isinstance(error, CallGarbled):
+                    return Outcome.ERROR
+            tries, connection, request = tries + 1, None, again
+        return Outcome.RESET
+
+    async def _collect(self, running: Running, first: http.Answer, news: http.QueryNews) -> None:
         """Answered means all pages: a page that is lost is an error of the send, which has run."""
-        call, rows = running.start.call, bytearray()
+        rows = bytearray()
         for number in range(news.pages):
-            if number:
-                request = http.request("GET", f"/x/{call}/{number}", self._host, {})
-                connection, more = await self._ask(running, connection, request, request)
-                if more is None:
-                    return self._end(running, Outcome.RESET)
-                answer = more
+            request = http.request("GET", f"/x/{running.start.call}/{number}", self._host, {})
+            answer = await self._ask(running, None, request, request) if number else first
+            if isinstance(answer, Outcome):
+                return self._end(running, answer)
             page = http.page_rows(answer, number)
             if page is None or len(rows) + len(page) > http.RESULT_BYTES:
-                self._pool.put_back(connection, answer, self._clock.now())
-                self.supervisor.log.say("page lost", f"{self.name}: page {number} of {news.pages}, {answer.status}")
+                self.supervisor.counters.add("pages lost")
+                where = f"{self.name}: {number} of {news.pages}, status {answer.status}"
+                self.supervisor.log.say("page lost", where)
                 return self._end(running, Outcome.ERROR)
             rows += page
-            if not answer.reusable and number + 1 < news.pages:
-                connection.close()
-                connection = await self._pool.get(self._clock.now())
-        self._pool.put_back(connection, answer, self._clock.now())
         return self._end(running, Outcome.ANSWERED, news, bytes(rows))
 
     def _end(
-        self, running: Running, outcome: Outcome, news: http.QueryNews | None = None, rows: bytes | None = None
+        self,
+        running: Running,
+        outcome: Outcome,
+        news: http.QueryNews | None = None,
+        rows: bytes | None = None,
     ) -> None:
         if running.ended:
             return
@@ -266,8 +267,8 @@
         finally:
             self._end(running, Outcome.CANCELLED)
 
-    async def _set_priority(self, running: Running, priority: int) -> None:
-        body = str(priority).encode()
+    async def _set_priority(self, running: Running) -> None:
+        body = str(running.priority).encode()
         await self._tell(http.request("PUT", f"/x/{running.start.call}", self._host, {}, body))
 
     async def _tell(self, request: bytes) -> None:
--- a/lotusstream/net/engine_list.py
+++ b/lotusstream/net/engine_list.py
@@ -55,13 +55,14 @@
             self._report(notice)
 
     async def poll(self) -> None:
-        connection: Connection | None = None
         while True:
-            began, answer = self._clock.now(), None
+            connection: Connection | None = None
+            began = self._clock.now()
             target = f"/board/poll?watch={self._last}&linger={LINGER // http.MS}"
+            request = http.request("GET", target, self._host, {})
             try:
                 connection = await self._pool.get(began)
-                answer = await connection.call(http.request("GET", target, self._host, {}), LINGER + http.PATIENCE)
+                answer = await connection.call(request, LINGER + http.PATIENCE)
                 if answer.status != 200:
                     raise CallBroken(f"status {answer.status}")
                 self.apply(notices.parse_notices(answer.body, self._deployment))
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -3,24 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
+import sys
 from dataclasses import dataclass
 from typing import Any
 
+from lotusstream import interface as api
 from lotusstream.deployment import Deployment, UnusableSettings, read_settings
 from lotusstream.net.actor import Supervisor
-from lotusstream.net.client import ClientConnection
+from lotusstream.net.client import ClientConnection, Unread
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider, marked_profiles
 from lotusstream.net.engine_list import EngineList
-from lotusstream.protocol import http, notices
+from lotusstream.protocol import notices
 
 MS = 1000
-COME_ON = 600 * MS  # after a planned stop is told: connections and commands still come
-KILLED_AFTER = 700 * MS  # more than the longest client timeout, itself counted up to the next figure
-LONGEST_WAIT = 3000 * MS
+STAY = 700 * MS  # after a planned stop is told: what comes that late is not this gateway's any more
+COME_ON = 600 * MS  # and until then commands still come
+ACCEPT_PAUSE = 0.01  # seconds
+LONGEST_WAIT = 3000 * MS  # that much of the longest client timeout is left after that
 
 
 class UnusableConfiguration(Exception):
@@ -33,6 +37,7 @@
     listen: Endpoint
     board: Endpoint
     descriptors: int
+    memory: int
     deployment: Deployment
     known: notices.Notices
 
@@ -49,6 +54,7 @@
             listen=listen,
             board=board,
             descriptors=int(raw["limits"]["sockets"]),
+            memory=int(raw["limits"]["memory_mb"]) << 20,
             deployment=deployment,
             known=notices.read_notices(raw["known"], deployment),
         )
@@ -64,11 +70,13 @@
     def __init__(self, configuration: Configuration) -> None:
         self._configuration = configuration
         self.supervisor, self._clock = Supervisor(), Clock()
-        most = configuration.descriptors
-        engines = SocketBudget(most - most // 3 - most // 16)  # clients hold a third at most
-        deployment = configuration.deployment
+        most, memory, deployment = configuration.descriptors, configuration.memory, configuration.deployment
+        spare = most // 32  # the program's own, and the board's
+        self._most_clients = most // 3 + spare
+        self._budget = SocketBudget(most - self._most_clients - spare)
+        self._clients, self._unread = 0, Unread(memory // 8)
         self._marked = marked_profiles(deployment)
-        self._decider = Decider(deployment, engines, self._clock, self.supervisor)
+        self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor)
         self._list = EngineList(
             configuration.board, deployment, self._clock, self._decider.post, self.supervisor
         )
@@ -92,12 +100,13 @@
             listener.close()
             raise UnusableConfiguration(f"listen: {error}") from error
         self._listener = listener
+        print(f"listening on {self.address[0]}:{self.address[1]}", file=sys.stderr, flush=True)
         self._list.apply(self._configuration.known)
         self._decider.start()
         self._list.start()
-        self.supervisor.start("poll", self._list.poll())
-        self.supervisor.start("accept", self._accept(listener))
-        self.supervisor.start("watch", self._watch())
+        self.supervisor.keep("poll", self._list.poll)
+        self.supervisor.keep("accept", lambda: self._accept(listener))
+        self.supervisor.keep("watch", self._watch)
 
     def _good(self) -> bool:
         return self._decider.listed and not self._stopping
@@ -105,20 +114,37 @@
     async def _accept(self, listener: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
+            while self._clients >= self._most_clients:
+                await asyncio.sleep(ACCEPT_PAUSE)
             try:
                 sock, _ = await loop.sock_accept(listener)
             except OSError as error:  # out of descriptors, or the peer has left already
                 self.supervisor.counters.add("accepts failed")
                 self.supervisor.log.say("accept", str(error))
-                await asyncio.sleep(0.01)
+                await asyncio.sleep(ACCEPT_PAUSE)
                 continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.supervisor.counters.add("client connections")
+            self.supervisor.start("client", self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        self._clients += 1
+        self.supervisor.counters.add("client connections")
+        self.supervisor.counters.peak("client connections", self._clients)
+        try:
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = ClientConnection(
-                sock, self._configuration.deployment, self._marked, self._clock, self._decider.post,
-                self._good, self.supervisor,
-            )  # fmt: skip
-            self.supervisor.start("client", client.serve())
+                sock,
+                self._configuration.deployment,
+                self._marked,
+                self._clock,
+                self._decider.post,
+                self._good,
+                self._unread,
+                self.supervisor,
+            )
+            await client.serve()
+        finally:
+            self._clients -= 1
 
     async def _watch(self) -> None:
         """The loop's longest stall, and idle connections."""
@@ -127,6 +153,7 @@
             before = self._clock.now()
             await asyncio.sleep(pause / US)
             self.supervisor.counters.peak("stall of the loop, us", self._clock.now() - before - pause)
+            self.supervisor.counters.peak("connections to engines", self._budget.used)
             self._decider.trim()
 
     async def drain(self) -> None:
@@ -134,11 +161,12 @@
         self._stopping = True
         began = self._clock.now()
         longest = max(profile.client_timeout for profile in self._configuration.deployment.started.profiles)
-        by = began + min(longest, LONGEST_WAIT) + KILLED_AFTER
-        while self._clock.now() < by - http.NEWS_WAIT:
-            if self._clock.now() >= began + KILLED_AFTER and not self._decider.open_commands:
+        by = began + min(longest, LONGEST_WAIT) + COME_ON
+        self._decider.post(api.Stopping(by))
+        while (now := self._clock.now()) < by:
+            if now >= began + STAY and not (self._decider.open_commands or self._unread.total):
                 break
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(ACCEPT_PAUSE)
 
     async def stop(self) -> None:
         if self._listener is not None:
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -20,7 +20,7 @@
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
 PRESSURE, NEAR_BEST, STRAINED = 2.0, 1.5, 0.1  # latency over the best; cores pressed that bound all
 WARM_GROUPS, WARM_WORTH = 4, 0.75  # groups that an engine keeps warm; work left to their commands
-FAILURES, HIGHEST = 3, 3  # in a row, that set an engine aside; the highest priority
+FAILURES, HIGHEST, NEVER = 3, 3, 2**62  # in a row, that set an engine aside; the highest priority
 CREDIT_START, CREDIT_MOST, CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
@@ -68,11 +68,11 @@
         self.strained, self.calm, self.best, self.room = False, 1.0, math.inf, 0.0
         self.homes: dict[object, list[Backend]] = {}
         self.groups, self.earlier, self.epoch = Counter[int](), Counter[int](), 0  # commands per group
-        self.draws, self.looked_at = 0, 0
+        self.draws, self.looked_at, self.stop_by = 0, 0, NEVER
         self.reactions = {
             api.Started: self._start, api.EngineNews: self._learn_engines, api.Arrived: self._take,
-            api.Ended: self._end_try, api.Noted: self._note, api.Settled: self._settle,
-            api.ClientGone: self._client_gone, api.Woken: self._woken, api.Probed: self._probed,
+            api.Ended: self._end_try, api.Noted: self._note, api.Probed: self._probed, api.Woken: self._woken,
+            api.ClientGone: self._client_gone, api.Stopping: self._stop, api.Settled: self._settle,
         }  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -96,8 +96,7 @@
         self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
         self.even = self.share = 1.0 / event.gateways
-        self.in_hand = Ring(4 * self.shortest, BUCKETS)  # own, and everyone's
-        self.paces = Ring(8 * self.shortest, BUCKETS)  # of all engines
+        self.in_hand, self.paces = (Ring(many * self.shortest, BUCKETS) for many in (4, 8))
         self.unprobed, self.probed = 0, int(self._chance() * PROBE_EVERY)
         self.look_every = max(event.period, self.shortest // 20)
         self.taken, self.extras = (Ring(self.duties.extra_span, BUCKETS) for _ in range(2))
@@ -132,7 +131,7 @@
     def _take(self, event: api.Arrived) -> None:
         profile, usual = self.given.profiles[event.profile], self.usual[event.profile]
         work = usual.estimate(self.now, event.hint)
-        ends_by = self.now + event.client_timeout
+        ends_by = min(self.now + event.client_timeout, self.stop_by)
         stretch = profile.stretch * work / profile.threads if event.hint else 0.0  # most lie under the mean
         due = min(int(self.now + profile.target + stretch), ends_by)
         key = event.key if profile.in_order else None
@@ -152,16 +151,22 @@
         if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand and self.ready:
             self.unprobed, self.probed = 0, self.probed + 1
             self.actions.append(api.Probe(self.ready[self.probed % len(self.ready)].entry.id))
-        if event.client_timeout <= 2 * self.look_every:  # nothing can be done in what is left
+        if ends_by - self.now <= 2 * self.look_every:  # nothing can be done in what is left
             self._give_up(cmd)
 
     def _client_gone(self, event: api.ClientGone) -> None:
         if cmd := self.open.get(event.command):
             self._forget(cmd)
 
+    def _stop(self, event: api.Stopping) -> None:
+        """Guards what is open at a planned stop: answered while there is a gateway to answer it."""
+        self.stop_by = event.by
+        for cmd in self.open.values():
+            cmd.ends_by, cmd.due = min(cmd.ends_by, event.by), min(cmd.due, event.by)
+        self._plan(self.now)
+
     def _woken(self, event: api.Woken) -> None:
-        if event.token == self.woken_for:
-            self.woken_for = None
+        self.woken_for = None if event.token == self.woken_for else self.woken_for
 
     def _probed(self, event: api.Probed) -> None:
         if event.engine in self.backends and event.report and event.report.in_hand is not None:
@@ -277,8 +282,7 @@
     def _may_send_again(self, cmd: Command) -> bool:
         if len(cmd.tries) >= self.allowed.sends or self.now >= cmd.ends_by:
             return False
-        ran = cmd.ran
-        if not ran or cmd.profile.effect is Effect.REPLAYABLE:
+        if not (ran := cmd.ran) or cmd.profile.effect is Effect.REPLAYABLE:
             return True
         in_time = self.now + self.look_every < ran[0].at + cmd.profile.remembered_for
         return cmd.profile.effect is Effect.UNIQUED and in_time
@@ -305,8 +309,7 @@
         budget on average, and no moment is everyone's."""
         rate = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even
         part = rate * self.duties.overload_for
-        if be.pushed is None:
-            be.pushed = Ring(self.duties.overload_for, BUCKETS)
+        be.pushed = be.pushed or Ring(self.duties.overload_for, BUCKETS)
         if weight <= part:
             return weight <= part - be.pushed.total(self.now)[0]
         return be.phase * weight <= rate * (self.now - be.cold_told) - be.cold_spent
@@ -418,8 +421,7 @@
             self.actions.append(api.Wake(at, at))
 
     def _plan(self, at: int) -> None:
-        if self.look_at is None or at < self.look_at:
-            self.look_at = at
+        self.look_at = at if self.look_at is None else min(at, self.look_at)
 
     def _release(self) -> None:
         """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
@@ -460,8 +462,7 @@
         expected = alone * max(1.0, be.pace)
         a_try = Try(be, self.now, alone, expected, len(cmd.tries), self.now + expected + stall, stall > 0)
         cmd.tries.append(a_try)
-        if not be.out:
-            be.heard = self.now
+        be.heard = be.heard if be.out else self.now
         be.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
         be.threads, self.room = be.threads + cmd.profile.threads, self.room - cmd.profile.threads
         self.out += cmd.profile.threads
@@ -474,7 +475,7 @@
             if self.allowed.priorities and not a_try.number:
                 self.actions.append(api.Resources(cmd.id, 0.0, HIGHEST))
         self.actions.append(api.Send(cmd.id, be.entry.id, cmd.ends_by - self.now))
-        self._plan(self.now + max(self.look_every, int(expected) // 4))
+        self._plan(min(self.now + max(self.look_every, int(expected / 4)), cmd.ends_by - 2 * self.look_every))
 
     def _look(self) -> None:
         """What time alone brings: ends of patience, silence and the engines' widths."""
--- a/lotusstream/protocol/front.py
+++ b/lotusstream/protocol/front.py
@@ -13,7 +13,7 @@
 from thrift.transport.TTransport import TMemoryBuffer
 
 FRAME = struct.Struct("!i")
-LONGEST_FRAME = 1 << 20
+LONGEST_FRAME = 256 << 10
 MOST_FIELDS = 256
 MOST_OPEN = 32  # on one connection
 MS = 1000
@@ -28,11 +28,11 @@
 
 
 class UnusableMessage(Exception):
-    """One message that can't be used; `seqid` is known."""
+    """One message that can't be used. `fault` is the answer to it, if one is owed."""
 
-    def __init__(self, seqid: int, kind: int, why: str) -> None:
+    def __init__(self, method: str, seqid: int, kind: int, why: str, *, answered: bool) -> None:
         super().__init__(why)
-        self.seqid, self.kind = seqid, kind
+        self.fault = encode_fault(method, seqid, kind, why) if answered else None
 
 
 class UnusableCommand(Exception):
@@ -125,7 +125,8 @@
     if kind not in (TMessageType.CALL, TMessageType.ONEWAY):
         raise BrokenFrame(f"a message of type {kind}")
     if method not in _ARGUMENTS:
-        raise UnusableMessage(seqid, TApplicationException.UNKNOWN_METHOD, "unknown method")
+        why, fault = "unknown method", TApplicationException.UNKNOWN_METHOD
+        raise UnusableMessage(method, seqid, fault, why, answered=kind == TMessageType.CALL)
     try:
         values = _arguments(protocol, _ARGUMENTS[method])
         if method == "probe":
@@ -134,7 +135,8 @@
             return GiveUp(values[1])
         return Process(seqid, values[1], values[2])
     except Exception as error:  # as above
-        raise UnusableMessage(seqid, TApplicationException.PROTOCOL_ERROR, f"unusable: {error!r}") from error
+        why, fault = f"unusable: {error!r}", TApplicationException.PROTOCOL_ERROR
+        raise UnusableMessage(method, seqid, fault, why, answered=kind == TMessageType.CALL) from error
 
 
 def _number(fields: dict[str, str], name: str) -> float | None:
@@ -145,7 +147,9 @@
     return float(fields[name])
 
 
-def command_fields(fields: dict[str, str], profiles: tuple[str, ...], marked: tuple[bool, ...]) -> CommandFields:
+def command_fields(
+    fields: dict[str, str], profiles: tuple[str, ...], marked: tuple[bool, ...]
+) -> CommandFields:
     """`marked`: for each profile, whether its commands carry a mark against repeats."""
     profile, call, mark = fields.get("op"), fields.get("call", ""), fields.get("dedupe")
     if profile not in profiles:
--- a/lotusstream/protocol/http.py
+++ b/lotusstream/protocol/http.py
@@ -90,7 +90,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("ascii") + body
 
 
-def start_headers(call: str, profile: str, limit: int, mark: str | None, priority: int | None) -> dict[str, str]:
+def start_headers(
+    call: str, profile: str, limit: int, mark: str | None, priority: int | None
+) -> dict[str, str]:
     headers = {"X-Txn": call, "X-Lane": profile, "X-Limit-Ms": str(max(1, limit // MS))}
     if mark is not None:
         headers["X-Dedupe"] = mark
--- a/lotusstream/protocol/notices.py
+++ b/lotusstream/protocol/notices.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Any
 
 from lotusstream import interface as api
@@ -38,8 +39,13 @@
 
 
 def parse_endpoint(text: Any) -> tuple[str, int] | None:
-    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    return (host, int(port)) if host and port.isascii() and port.isdigit() and int(port) < 65536 else None
+    """An IPv4 address and a port: names are not resolved."""
+    try:
+        host, _, port = text.rpartition(":")
+        number = int(port)
+        return (str(IPv4Address(host)), number) if 0 <= number < 65536 else None
+    except (AttributeError, ValueError):
+        return None
 
 
 def _entry(raw: Any, deployment: Deployment) -> Listed | None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -281,3 +281,27 @@
     seen = len(host.log)
     host.pass_time(60 * S)
     assert len(host.log) == seen
+
+
+def test_a_planned_stop_caps_what_runs_and_what_still_comes(host: Host) -> None:
+    running = host.take(profile=1, group=4)
+    host.tell(api.Stopping(host.now + 2 * S))
+    late = host.take(profile=1, group=5)
+    assert host.sends(late)[0].time_out == 2 * S
+    host.pass_time(2 * S)
+    assert all(host.finals(command) == [api.Shed(command, 500 * MS)] for command in (running, late))
+
+
+def test_a_planned_stop_refuses_no_command_that_may_never_run_twice(host: Host) -> None:
+    command = host.take(profile=2, key=9)
+    host.tell(api.Stopping(host.now + 2 * S))
+    host.pass_time(2 * S)
+    assert host.finals(command) == [api.Fail(command)]
+
+
+def test_a_command_thought_long_is_looked_at_before_its_client_leaves() -> None:
+    host = Host()
+    host.engines(engine(1))
+    command = host.take(hint=400 * S, timeout=3 * S)  # a quarter of its expected time is past that
+    host.pass_time(3 * S)
+    assert len(host.finals(command)) == 1
