--- a/lotusstream/cli.py
+++ b/lotusstream/cli.py
@@ -33,7 +33,7 @@
         loop.add_signal_handler(number, stop.set)
 
     def print_counters() -> None:
-        print("\n".join(server.supervisor.counters.lines()), file=sys.stderr, flush=True)
+        print("\n".join([*server.supervisor.counters.lines(), "counters end"]), file=sys.stderr, flush=True)
 
     loop.add_signal_handler(signal.SIGUSR1, print_counters)
     await stop.wait()
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,341 @@
+"""The program, started by its command line, among stand-ins on loopback: a story for each failure."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+
+import pytest
+from conftest import Failed, StandInClient, StandInEngine, World, http_answer
+
+
+async def failure(client: StandInClient, seqid: int) -> Failed:
+    with pytest.raises(Failed) as caught:
+        await client.answer(seqid)
+    return caught.value
+
+
+async def test_a_command_of_several_pages_is_answered_whole_and_in_order(world: World) -> None:
+    client = await world.start()
+    world.engines[0].pages = [b"1\tb\tc\n", b"2\t\t\n3\tx\ty\n", b"4\tb\tc\n"]
+    assert await client.answer(client.ask()) == (b"".join(world.engines[0].pages), True)
+
+
+async def test_what_the_client_said_goes_on_unchanged(world: World) -> None:
+    client = await world.start()
+    statement = "INSERT INTO \"sales_3\".t SELECT 'é\n''' FROM staging.b"
+    await client.answer(client.ask("load", statement, call="9b1f03aa5c7e2d41", dedupe="5c0f" * 8))
+    post = world.engines[0].posts()[0]
+    told = {name: post.headers[name] for name in ("x-txn", "x-lane", "x-dedupe")}
+    assert told == {"x-txn": "9b1f03aa5c7e2d41", "x-lane": "load", "x-dedupe": "5c0f" * 8}
+    assert post.body == statement.encode() and 5000 < int(post.headers["x-limit-ms"]) <= 6000
+
+
+async def test_answers_come_in_any_order(world: World) -> None:
+    client = await world.start()
+    engine = world.engines[0]
+    engine.acts = "holds"
+    slow = client.ask()
+    await engine.calls.until(lambda call: call.method == "GET")
+    engine.acts = "answers"
+    quick = client.ask()
+    await client.answer(quick)
+    assert await client.answer(slow) == (engine.pages[0], True)
+
+
+async def test_a_refused_connection_proves_that_nothing_ran(world: World) -> None:
+    client = await world.start("s-2")
+    world.engines[0].die()
+    for profile in ("lookup", "load", "booking") * 2:
+        await client.answer(client.ask(profile))
+    assert len(world.engines[1].posts()) == 6
+
+
+@pytest.mark.parametrize(("profile", "again"), [("lookup", True), ("load", True), ("booking", False)])
+async def test_a_reset_in_mid_send_is_repeated_only_where_that_is_harmless(
+    world: World, profile: str, again: bool
+) -> None:
+    client = await world.start("s-2")
+    for engine in world.engines:
+        engine.acts = "holds"
+    seqid = client.ask(profile)
+    first = await world.chosen()
+    second = next(engine for engine in world.engines if engine is not first)
+    second.acts = "answers"
+    first.die()
+    if again:
+        assert await client.answer(seqid) == (second.pages[0], True)
+    else:
+        assert (await failure(client, seqid)).kind == "failed"
+    assert len(second.posts()) == again
+
+
+async def test_a_connection_that_breaks_is_no_end_of_its_query(world: World) -> None:
+    client = await world.start()
+    engine = world.engines[0]
+    engine.acts = "holds"
+    seqid = client.ask("booking")
+    await engine.calls.until(lambda call: call.method == "GET")
+    for writer in engine._writers:
+        writer.transport.abort()
+    engine.acts = "answers"
+    assert await client.answer(seqid) == (engine.pages[0], True)
+    assert len(engine.posts()) == 1
+
+
+async def test_a_silent_engine_costs_a_command_its_time_and_no_more(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "is silent"
+    once, lookup = client.ask("booking", ttl="1500"), client.ask(ttl="1500")
+    assert [(await failure(client, seqid)).kind for seqid in (once, lookup)] == ["failed", "shed"]
+
+
+async def test_a_lost_page_is_an_error_of_the_send(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts, world.engines[0].pages = "loses pages", [b"1\t2\t3\n"] * 2
+    assert (await failure(client, client.ask("booking"))).kind == "failed"
+
+
+async def test_full_engines_are_tried_again_and_then_shed_with_advice(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "is full"
+    shed = await failure(client, client.ask("booking", ttl="1000"))
+    assert shed.kind == "shed" and shed.fields == {"pushback": "500"}
+
+
+async def test_nothing_new_goes_to_a_draining_engine(world: World) -> None:
+    client = await world.start("s-2")
+    first, second = world.engines
+    world.board.tell(first.entry("draining"))
+    await world.board.calls.until(lambda call: "watch=2&" in call.path)
+    for group in range(8):
+        await client.answer(client.ask(statement=f"SELECT a FROM sales_{group}.t"))
+    assert len(first.posts()) == 0 and len(second.posts()) == 8
+
+
+async def test_an_address_that_returns_as_another_engine_gets_new_connections(world: World) -> None:
+    client = await world.start()
+    old = world.engines[0]
+    await client.answer(client.ask())
+    old.die()
+    new = StandInEngine("s-9")
+    world.engines.append(new)
+    await new.start(old.port)
+    world.board.tell(old.entry("gone"), new.entry())
+    await world.board.calls.until(lambda call: "watch=2&" in call.path)
+    await client.answer(client.ask("booking"))
+    assert len(new.posts()) == 1
+
+
+async def test_a_client_that_gives_up_is_owed_nothing_and_its_send_is_deleted(world: World) -> None:
+    client = await world.start()
+    engine = world.engines[0]
+    engine.acts = "holds"
+    seqid = client.ask(call="00000000000000aa")
+    await engine.calls.until(lambda call: call.method == "POST")
+    client.give_up(seqid)
+    deleted = await engine.calls.until(lambda call: call.method == "DELETE")
+    assert deleted.path == "/x/00000000000000aa" and await client.probe()
+    assert seqid not in client.answers
+
+
+async def test_a_client_that_leaves_leaves_nothing_running(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    client.ask()
+    await world.engines[0].calls.until(lambda call: call.method == "POST")
+    client.writer.close()
+    await world.engines[0].calls.until(lambda call: call.method == "DELETE")
+    assert (await world.counters())["left lookup"] == 1
+
+
+async def test_a_planned_stop_answers_all_in_time_and_ends_well(world: World) -> None:
+    client = await world.start()
+    world.engines[0].held = {"00000000000000aa", "00000000000000bb"}
+    long = client.ask("booking", call="00000000000000aa")
+    await world.engines[0].calls.until(lambda call: call.method == "POST")
+    assert world.program is not None
+    world.program.send_signal(signal.SIGTERM)
+    began = asyncio.get_running_loop().time()
+    while await client.probe():
+        pass
+    late = await world.client()
+    await late.answer(late.ask())
+    held = late.ask(call="00000000000000bb")
+    assert (await failure(client, long)).kind == "failed" and (await failure(late, held)).kind == "shed"
+    assert await world.ended() == 0 and asyncio.get_running_loop().time() - began < 3.7
+    assert "answered lookup 1" in world.log.items
+
+
+async def test_an_idle_gateway_stops_soon(world: World) -> None:
+    client = await world.start()
+    await client.answer(client.ask())
+    assert world.program is not None
+    world.program.send_signal(signal.SIGTERM)
+    assert await world.ended() == 0
+
+
+async def test_a_full_descriptor_budget_ends_sends_as_not_run(world: World) -> None:
+    world.limits["sockets"] = 40
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    seqids = [client.ask("booking", ttl="2000") for _ in range(30)]
+    kinds = [(await failure(client, seqid)).kind for seqid in seqids]
+    counters = await world.counters()
+    assert counters["sends without a descriptor"] > 0 and "shed" in kinds
+    assert world.engines[0].connections < 30
+
+
+async def test_large_statements_are_refused_past_the_memory_for_them(world: World) -> None:
+    world.limits["memory_mb"] = 1
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    first = client.ask(statement="SELECT a FROM sales_3.t --" + "x" * 100_000)
+    second = client.ask(statement="SELECT a FROM sales_3.t --" + "x" * 100_000)
+    assert (await failure(client, second)).kind == "shed" and first not in client.answers
+
+
+async def test_a_client_that_does_not_read_is_cut_off_and_harms_nobody(world: World) -> None:
+    world.limits["memory_mb"] = 1
+    client = await world.start()
+    world.engines[0].pages = [(b"x" * 1000 + b"\t\t\n") * 5] * 9
+    deaf = await world.client()
+    deaf._task.cancel()
+    await asyncio.gather(deaf._task, return_exceptions=True)
+    deaf._reader._transport.pause_reading()
+    while (await world.counters()).get("client connections cut off", 0) == 0:
+        for _ in range(30):
+            deaf.ask()
+        assert await client.probe()
+    world.engines[0].pages = [b"1\t2\t3\n"]
+    assert await client.answer(client.ask()) == (b"1\t2\t3\n", True)
+
+
+# Bad input
+
+
+@pytest.mark.parametrize(
+    "frame",
+    [b"\x00\x00\x00\x07process", b"", b"\x80\x02\x00\x01" + b"x" * 40, b"\x80\x01\x00\x01\x7f\xff\xff\xff"],
+    ids=["not strict", "empty", "another version", "an endless name"],
+)
+async def test_a_stream_that_is_no_thrift_costs_that_connection_alone(world: World, frame: bytes) -> None:
+    client = await world.start()
+    bad = await world.client()
+    bad.raw(frame)
+    await asyncio.wait_for(bad.closed.wait(), 20)
+    assert (await client.answer(client.ask()))[1]
+
+
+@pytest.mark.parametrize("length", [-1, 2**31 - 1])
+async def test_a_frame_of_impossible_length_costs_that_connection_alone(world: World, length: int) -> None:
+    client = await world.start()
+    bad = await world.client()
+    bad.writer.write(length.to_bytes(4, "big", signed=True))
+    await asyncio.wait_for(bad.closed.wait(), 20)
+    assert (await client.answer(client.ask()))[1]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"op": "nothing"}, {"op": "lookup\r\nX-Evil: 1"}, {"call": "xyz"}, {"call": "0" * 16 + "\n"},
+        {"ttl": "soon"}, {"ttl": "-5"}, {"work": "1e999"}, {"dedupe": "a\r\nb"}, {"op": "load", "dedupe": ""},
+    ],
+    ids=str,
+)  # fmt: skip
+async def test_unusable_fields_are_answered_and_reach_no_engine(world: World, fields: dict[str, str]) -> None:
+    client = await world.start()
+    assert (await failure(client, client.ask(**fields))).kind == "fault"
+    assert (await client.answer(client.ask()))[1] and len(world.engines[0].posts()) == 1
+
+
+@pytest.mark.parametrize("statement", [b"SELECT \xff FROM sales_3.t", b"SELECT 1", b""])
+async def test_a_statement_without_a_group_is_answered_and_reaches_no_engine(
+    world: World, statement: bytes
+) -> None:
+    client = await world.start()
+    assert (await failure(client, client.ask(statement=statement))).kind == "fault"
+    assert not world.engines[0].calls.items
+
+
+async def test_messages_of_other_shapes_are_answered_where_their_number_is_known(world: World) -> None:
+    client = await world.start()
+
+    def nested(protocol: object) -> None:
+        for _ in range(500):
+            protocol.writeFieldBegin("", 12, 1)  # type: ignore[attr-defined]
+
+    def huge(protocol: object) -> None:
+        protocol.writeFieldBegin("", 13, 1)  # type: ignore[attr-defined]
+        protocol.writeMapBegin(11, 11, 2**31 - 1)  # type: ignore[attr-defined]
+
+    seqids = [client.message(*message) for message in
+              (("process", 1, nested), ("process", 1, huge), ("process", 1, lambda _: None),
+               ("no such", 1, lambda _: None))]  # fmt: skip
+    client.message("giveUp", 4, lambda _: None)
+    for seqid in seqids:
+        assert (await failure(client, seqid)).kind == "fault"
+    assert await client.probe()
+
+
+async def test_a_33rd_open_command_is_answered_at_once(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    seqids = [client.ask() for _ in range(33)]
+    assert (await failure(client, seqids[32])).kind == "fault"
+
+
+async def test_a_number_used_again_while_open_ends_that_connection(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    client.ask()
+    client.seqid -= 1
+    client.ask()
+    await asyncio.wait_for(client.closed.wait(), 20)
+    assert await (await world.client()).probe()
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"garbage\r\n\r\n",
+        http_answer(200, b"1\t2\t3\n", Result_Pages="many"),
+        http_answer(200, b"1\t2", Result_Pages=1),
+        http_answer(200, b"1\t2\n", Result_Pages=1),
+        http_answer(200, b"1\t2\t3\n" * 1001, Result_Pages=1),
+        b"HTTP/1.1 200 OK\r\nX-A: " + b"x" * 100_000,
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        http_answer(503), http_answer(504), http_answer(777),
+    ],
+    ids=["no http", "pages", "cut row", "columns", "long page", "endless", "chunks", "503", "504", "777"],
+)  # fmt: skip
+async def test_an_engine_that_talks_nonsense_may_have_run_the_command(world: World, raw: bytes) -> None:
+    client = await world.start()
+    world.engines[0].acts, world.engines[0].raw = "raw", raw
+    assert (await failure(client, client.ask("booking"))).kind == "failed"
+    world.engines[0].acts = "answers"
+    assert (await client.answer(client.ask()))[1]
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        http_answer(500), http_answer(200, b"{"), http_answer(200, b"[]"), http_answer(200, b"[" * 5000),
+        http_answer(200, b'{"rev":9,"notices":[{"rev":9,"pool":{"targets":[]}}]}'),
+        http_answer(200, b'{"rev":0,"notices":[]}'),
+        http_answer(200, b'{"rev":2,"notices":[{"rev":2,"pool":{"targets":[7,{"uid":"x","state":"odd"}]}}]}'),
+    ],
+    ids=["500", "cut", "a list", "deep", "a gap", "begun anew", "odd entries"],
+)  # fmt: skip
+async def test_a_board_that_talks_nonsense_is_asked_again(world: World, raw: bytes) -> None:
+    client = await world.start("s-2")
+    world.board.raw = raw
+    world.board._changed.set()
+    await world.board.calls.until(lambda call: True, 3)
+    world.board.tell()
+    world.board.tell(world.engines[0].entry("draining"))
+    await world.board.calls.until(lambda call: "watch=3&" in call.path)
+    for group in range(6):
+        await client.answer(client.ask(statement=f"SELECT a FROM sales_{group}.t"))
+    assert len(world.engines[0].posts()) == 0 and len(world.engines[1].posts()) == 6
