--- a/lotusstream/cli.py
+++ b/lotusstream/cli.py
@@ -6,12 +6,19 @@
 import asyncio
 import os
 import signal
+import socket
+import struct
 import sys
 from pathlib import Path
 
 import uvloop
 
+from lotusstream import __version__
 from lotusstream.net.gateway import Configuration, GatewayServer, UnusableConfiguration, read_configuration
+from lotusstream.protocol import front
+from lotusstream.protocol.tables import table_group
+
+PROBE_PATIENCE = 2.0  # seconds
 
 
 def load(path: str | None) -> Configuration:
@@ -25,21 +32,17 @@
 
 
 async def run_gateway(configuration: Configuration) -> None:
+    """Until SIGTERM or SIGINT, then a planned stop. SIGUSR1 prints the counters."""
     server = GatewayServer(configuration)
     await server.start()
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
-
-    def print_counters() -> None:
-        print("\n".join([*server.supervisor.counters.lines(), "counters end"]), file=sys.stderr, flush=True)
-
-    loop.add_signal_handler(signal.SIGUSR1, print_counters)
+    loop.add_signal_handler(signal.SIGUSR1, server.print_counters)
     await stop.wait()
     await server.drain()
     await server.stop()
-    print_counters()
+    server.print_counters()
 
 
 def serve(arguments: argparse.Namespace) -> int:
@@ -49,13 +52,64 @@
     return 0
 
 
-def main() -> int:
-    parser = argparse.ArgumentParser(prog="lotusstream", description="A front for query engines")
-    commands = parser.add_subparsers(dest="command", required=True)
-    serving = commands.add_parser("serve", help="run one gateway in the foreground")
-    serving.add_argument("--config", help="the configuration file, instead of ROUTER_CONFIG")
-    serving.set_defaults(act=serve)
-    arguments = parser.parse_args()
+def check(arguments: argparse.Namespace) -> int:
+    configuration = load(arguments.config)
+    deployment = configuration.deployment
+    engines = {listed.engine.id for notice in configuration.known.notices for listed in notice.listed}
+    print(f"gateway {configuration.name}, listens on {':'.join(map(str, configuration.listen))}")
+    print(f"board at {':'.join(map(str, configuration.board))}, {len(engines)} engines known")
+    for name, profile in zip(deployment.profiles, deployment.started.profiles, strict=True):
+        times = f"target {profile.target / 1e6:g} s, client timeout {profile.client_timeout / 1e6:g} s"
+        print(f"profile {name}: {profile.effect.value}, {times}")
+    return 0
+
+
+def probe(arguments: argparse.Namespace) -> int:
+    """As the front does: 0 where the gateway takes commands, otherwise 1."""
+    address = load(arguments.config).listen
+    try:
+        with socket.create_connection(address, PROBE_PATIENCE) as sock, sock.makefile("rb") as answers:
+            sock.sendall(front.encode_probe(1))
+            (length,) = front.FRAME.unpack(answers.read(front.FRAME.size))
+            good = front.decode_probe_answer(answers.read(length))
+    except (OSError, struct.error, front.BrokenFrame) as error:
+        print(f"no answer: {error}")
+        return 1
+    print("good" if good else "not taking commands")
+    return 0 if good else 1
+
+
+def group(arguments: argparse.Namespace) -> int:
+    found = table_group(arguments.statement)
+    print("none" if found is None else found)
+    return 1 if found is None else 0
+
+
+def version(_: argparse.Namespace) -> int:
+    print(f"lotusstream {__version__}")
+    return 0
+
+
+def parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(prog="lotusstream", description="A front for query engines")
+    commands = made.add_subparsers(dest="command", required=True)
+    for name, act, text in (
+        ("serve", serve, "run one gateway in the foreground"),
+        ("check", check, "read a configuration and say what it holds"),
+        ("probe", probe, "ask the gateway of a configuration whether it takes commands"),
+    ):
+        command = commands.add_parser(name, help=text)
+        command.add_argument("--config", help="the configuration file, instead of ROUTER_CONFIG")
+        command.set_defaults(act=act)
+    command = commands.add_parser("group", help="print the table group of a statement")
+    command.add_argument("statement")
+    command.set_defaults(act=group)
+    commands.add_parser("version", help="print the version").set_defaults(act=version)
+    return made
+
+
+def main(words: list[str] | None = None) -> int:
+    arguments = parser().parse_args(words)
     try:
         status: int = arguments.act(arguments)
     except UnusableConfiguration as error:
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -168,6 +168,9 @@
                 break
             await asyncio.sleep(ACCEPT_PAUSE)
 
+    def print_counters(self) -> None:
+        print("\n".join([*self.supervisor.counters.lines(), "counters end"]), file=sys.stderr, flush=True)
+
     async def stop(self) -> None:
         if self._listener is not None:
             self._listener.close()
--- a/lotusstream/protocol/front.py
+++ b/lotusstream/protocol/front.py
@@ -98,26 +98,35 @@
 }
 
 
-def _arguments(protocol: TBinaryProtocol, known: dict[int, int]) -> dict[int, Any]:
+def _reader(frame: bytes) -> TBinaryProtocol:
+    return TBinaryProtocol(
+        TMemoryBuffer(frame),
+        strictRead=True,
+        string_length_limit=len(frame),
+        container_length_limit=MOST_FIELDS,
+    )
+
+
+def _arguments(
+    protocol: TBinaryProtocol, known: dict[int, int], inside: dict[int, dict[int, int]] | None = None
+) -> dict[int, Any]:
+    """The known fields of a struct, and those of the known structs `inside` it."""
     values: dict[int, Any] = {}
     protocol.readStructBegin()
     while True:
         _, kind, number = protocol.readFieldBegin()
         if kind == TType.STOP:
             return values
-        if known.get(number) == kind:
+        if kind == TType.STRUCT and inside and number in inside:
+            values[number] = _arguments(protocol, inside[number])
+        elif known.get(number) == kind:
             values[number] = _READERS[kind](protocol)
         else:
             protocol.skip(kind)
 
 
 def decode(frame: bytes) -> Process | GiveUp | FrontProbe:
-    protocol = TBinaryProtocol(
-        TMemoryBuffer(frame),
-        strictRead=True,
-        string_length_limit=len(frame),
-        container_length_limit=MOST_FIELDS,
-    )
+    protocol = _reader(frame)
     try:
         method, kind, seqid = protocol.readMessageBegin()
     except Exception as error:  # the codec lets errors of many kinds through
@@ -227,3 +236,19 @@
     protocol = _message(method, TMessageType.EXCEPTION, seqid)
     TApplicationException(kind, why).write(protocol)
     return _frame(protocol)
+
+
+def encode_probe(seqid: int) -> bytes:
+    protocol = _message("probe", TMessageType.CALL, seqid)
+    protocol.writeFieldStop()
+    return _frame(protocol)
+
+
+def decode_probe_answer(frame: bytes) -> bool:
+    protocol = _reader(frame)
+    try:
+        _, kind, _ = protocol.readMessageBegin()
+        outer = _arguments(protocol, {}, inside={0: {3: TType.BOOL}})
+        return kind == TMessageType.REPLY and bool(outer.get(0, {}).get(3))
+    except Exception as error:  # the codec lets errors of many kinds through
+        raise BrokenFrame(f"no answer to a probe: {error!r}") from error
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -351,7 +351,8 @@
         "rules": {"cold_from": 0.3, "warm_up": 15 * S, "fall_multiple": 4.0, "overload_for": S,
                   "drain_grace": 2 * S},
         "specifics": {"cpu_of_kind": [8], "threads_by_class": [1, 2, 2],
-                      "writes_tables": [False, True, False], "class_waits": [True, False, True], "ranks_heeded": True},
+                      "writes_tables": [False, True, False], "class_waits": [True, False, True],
+                      "ranks_heeded": True},
         "request_classes": [profile("lookup", "repeatable"), profile("load", "by_key"),
                             profile("booking", "once")],
     }  # fmt: skip
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,277 @@
+"""Parts of the gateway by themselves, on fakes and without the program."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import resource
+import time
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from conftest import LIMIT, Failed, World, settings
+
+from lotusstream import interface as api
+from lotusstream.cli import main
+from lotusstream.deployment import read_settings
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.buffer import Buffer, BufferFull
+from lotusstream.net.client import ClientLeft, Reply, TakenCommand
+from lotusstream.net.clock import Clock
+from lotusstream.net.connection import Connection, NoDescriptor, SocketBudget
+from lotusstream.net.decider import Decider
+from lotusstream.net.engine import SendEnded
+from lotusstream.policy import Gateway
+from lotusstream.protocol import front
+from lotusstream.protocol.tables import table_group
+
+
+@pytest.mark.parametrize(
+    ("statement", "group"),
+    [
+        ("SELECT a FROM sales_17.orders", 17),
+        ("SELECT 'from lake_0.decoy' FROM sales_2.t", 2),
+        ("SELECT 'it''s from lake_0.decoy' FROM sales_2.t", 2),
+        ("SELECT a -- from lake_0.decoy\nFROM sales_2.t", 2),
+        ("SELECT a /* from lake_0.decoy * / ** */ FROM sales_2.t", 2),
+        ("SELECT '/*' FROM sales_2.t -- '", 2),
+        ('SELECT a FROM "sales_2"."t"', 2),
+        ('SELECT "lake_0.decoy" FROM sales_2.t', 2),
+        ("INSERT INTO mart_5.stock SELECT * FROM staging.batch_9", 5),
+        ("merge into lake_6.e d using staging.delta_1 s on d.id = s.id", 6),
+        ("SELECT t_1.x, u_9.y FROM sales_3.a t_1, sales_3.b u_9", 3),
+        ("SELECT a.x FROM staging.s a_1 JOIN sales_4 . b ON a_1.id = b.id", 4),
+        ("UPDATE big_mart_12.t SET a = 1", 12),
+        ("COPY ops_8.t FROM stdin", 8),
+        ("SELECT 1", None),
+        ("SELECT a FROM staging.t_1", None),
+        ("SELECT 'sales_1.t", None),
+        ("SELECT a FROM sales_99999999999.t", None),
+    ],
+)
+def test_the_group_is_in_the_name_of_the_schema_that_is_read_or_written(
+    statement: str, group: int | None
+) -> None:
+    assert table_group(statement) == group
+
+
+@pytest.mark.parametrize("piece", ["'", '"', "/*", "*", "--", "a.", "''", '""', "_1", "("])
+def test_a_statement_made_to_be_slow_is_not(piece: str) -> None:
+    began = time.process_time()
+    table_group("SELECT " + piece * 60_000)
+    assert time.process_time() - began < 5
+
+
+def test_a_buffer_grows_to_its_limit_and_is_compacted_before() -> None:
+    buffer = Buffer(4, 8)
+    buffer.space()[:] = b"abcd"
+    buffer.filled(4)
+    buffer.use(3)
+    assert len(buffer.space()) == 3 and bytes(buffer.data()) == b"d"
+    buffer.filled(3)
+    assert len(buffer.space()) == 4
+    buffer.filled(4)
+    with pytest.raises(BufferFull):
+        buffer.space()
+
+
+def test_a_step_of_the_system_clock_is_no_step_here(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = Clock()
+    before = clock.now()
+    assert abs(before - time.time_ns() // 1000) < 1_000_000
+    monkeypatch.setattr(time, "time_ns", lambda: 0)
+    assert 0 <= clock.now() - before < 1_000_000
+
+
+async def test_a_message_that_fails_leaves_its_actor_running() -> None:
+    seen: list[int] = []
+    done = asyncio.Event()
+
+    class Fragile(Actor[int]):
+        async def receive(self, message: int) -> None:
+            seen.append(message)
+            if message == 1:
+                raise ValueError("one")
+            done.set()
+
+    supervisor = Supervisor()
+    actor = Fragile("fragile", supervisor)
+    actor.start()
+    actor.post(1)
+    actor.post(2)
+    await asyncio.wait_for(done.wait(), LIMIT)
+    await supervisor.stop()
+    assert seen == [1, 2] and supervisor.counters["failed tasks"] == 1
+
+
+async def test_work_that_must_go_on_is_begun_anew() -> None:
+    tries: list[int] = []
+    done = asyncio.Event()
+
+    async def work() -> None:
+        tries.append(1)
+        if len(tries) == 1:
+            raise OSError("once")
+        done.set()
+
+    supervisor = Supervisor()
+    supervisor.keep("work", work)
+    await asyncio.wait_for(done.wait(), LIMIT)
+    await supervisor.stop()
+
+
+async def test_descriptors_are_kept_back_for_calls_that_end_things() -> None:
+    budget = SocketBudget(8)
+    for _ in range(7):
+        budget.take(False)
+    with pytest.raises(NoDescriptor):
+        budget.take(False)
+    budget.take(True)
+    with pytest.raises(NoDescriptor):
+        await Connection.open(("127.0.0.1", 1), 1000, budget, 0, ends_things=True)
+
+
+class Client:
+    """Takes what is posted to a client connection."""
+
+    def __init__(self) -> None:
+        self.replies: list[Reply] = []
+        self.came = asyncio.Event()
+
+    def post(self, reply: Reply) -> None:
+        self.replies.append(reply)
+        self.came.set()
+
+
+@pytest.fixture
+async def desk() -> Any:
+    """A decider with no engine, and one client."""
+    supervisor = Supervisor()
+    decider = Decider(read_settings(7, settings()), SocketBudget(8), 1 << 20, Clock(), supervisor)
+    decider.start()
+    made = SimpleNamespace(decider=decider, client=Client(), supervisor=supervisor, clock=Clock())
+    yield made
+    await supervisor.stop()
+
+
+def taken(desk: Any, seqid: int, timeout: int = 6_000_000) -> TakenCommand:
+    fields = front.CommandFields(0, f"{seqid:016x}", timeout, None, None, None)
+    return TakenCommand(desk.client, seqid, fields, 3, b"SELECT", desk.clock.now() + timeout)
+
+
+async def test_a_module_that_raises_still_gives_each_command_an_answer(
+    desk: Any, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    held = taken(desk, 1)
+    desk.decider.post(held)
+    handle = Gateway.handle
+
+    def broken(self: Gateway, now: int, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Arrived) and event.group == 13:
+            raise IndexError("out of range")
+        return handle(self, now, event)
+
+    monkeypatch.setattr(Gateway, "handle", broken)
+    bad = taken(desk, 2)
+    bad.group = 13
+    desk.decider.post(bad)
+    async with asyncio.timeout(LIMIT):
+        while len(desk.client.replies) < 2:
+            desk.client.came.clear()
+            await desk.client.came.wait()
+    assert [reply.ends for reply in desk.client.replies] == [held, bad]
+    assert desk.supervisor.counters["failed lookup"] == 2 and "Arrived(command=2" in capsys.readouterr().err
+    desk.client.came.clear()
+    desk.decider.post(taken(desk, 3, 10_000))  # too little time: the new module answers at once
+    await asyncio.wait_for(desk.client.came.wait(), LIMIT)
+    assert desk.supervisor.counters["shed lookup"] == 1
+
+
+async def test_a_second_end_of_a_send_is_counted_and_goes_no_further(
+    desk: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(desk.supervisor.invariants, "hold", lambda what, true: true)  # as a release run does
+    desk.decider.post(SendEnded(9, 0, b"s-1", api.Outcome.ANSWERED, 10, rows=b""))
+    desk.decider.post(ClientLeft(taken(desk, 4)))
+    desk.decider.post(taken(desk, 5, 10_000))
+    await asyncio.wait_for(desk.client.came.wait(), LIMIT)
+    assert [reply.ends.seqid for reply in desk.client.replies] == [5]
+
+
+async def test_a_call_that_is_open_already_is_not_sent_beside_itself(desk: Any) -> None:
+    desk.decider.post(taken(desk, 6))
+    again = taken(desk, 6)
+    desk.decider.post(again)
+    await asyncio.wait_for(desk.client.came.wait(), LIMIT)
+    assert [reply.ends for reply in desk.client.replies] == [again]
+
+
+async def test_no_descriptor_for_a_client_is_waited_out(world: World) -> None:
+    client = await world.start()
+    assert world.program is not None
+    pid, most = world.program.pid, resource.prlimit(world.program.pid, resource.RLIMIT_NOFILE)
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (3, most[1]))
+    late = await world.client()
+    await world.log.until(lambda line: line.startswith("accept:"))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, most)
+    assert await late.probe() and await client.probe()
+
+
+# The command line
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (lambda told: told.pop("board"), "'board' is missing"),
+        (lambda told: told["settings"].pop("request_classes"), "request_classes"),
+        (lambda told: told["limits"].pop("sockets"), "'sockets' is missing"),
+        (lambda told: told.update(seed="no"), "invalid literal"),
+        (lambda told: told.update(listen="here"), "host:port"),
+        (lambda told: told.update(known=[]), "configuration"),
+        (lambda told: told.update(listen="127.0.0.1:1"), ""),
+    ],
+)
+def test_a_configuration_is_checked_in_one_plain_line(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], change: Any, said: str
+) -> None:
+    told = {"name": "n0", "listen": "127.0.0.1:1", "seed": "8c", "board": "127.0.0.1:2", "more": 1,
+            "limits": {"memory_mb": 192, "sockets": 1024}, "known": {"rev": 0, "notices": []},
+            "settings": settings()}  # fmt: skip
+    change(told)
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    status = main(["check", "--config", str(path)])
+    output = capsys.readouterr()
+    if said:
+        assert status == 2 and said in output.err and output.err.count("\n") == 1
+    else:
+        assert status == 0 and "profile booking: non-replayable" in output.out
+
+
+def test_a_missing_configuration_is_told(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["serve", "--config", str(tmp_path / "none.json")]) == 2
+    assert "No such file" in capsys.readouterr().err
+
+
+async def test_an_address_in_use_is_told_and_the_program_ends(world: World) -> None:
+    await world.start()
+    path = world.folder / "config.json"
+    told = json.loads(path.read_text()) | {"listen": f"127.0.0.1:{world.port}"}
+    path.write_text(json.dumps(told))
+    assert await asyncio.to_thread(main, ["probe", "--config", str(path)]) == 0
+    assert await asyncio.to_thread(main, ["serve", "--config", str(path)]) == 2
+
+
+async def test_a_stopping_gateway_fails_its_probe(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    client.ask()
+    assert await client.probe() and world.program is not None
+    world.program.terminate()
+    while await client.probe():
+        pass
+    with pytest.raises(Failed):
+        await client.answer(1)
