At the open bound, sends that stand behind loads count as pressure

Ruled out: broken or forgotten calls, cancelled trials, CPU, descriptors.

Change: once the open bound is reached, the pace of all that is out counts, stalled or not. Guards against any crowd that stands still. Harm: while a long load runs, other groups are held for its engine.

The story fails without the change.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -134,13 +134,12 @@
         ends_by = min(self.now + event.client_timeout, self.stop_by)
         stretch = profile.stretch * work / profile.threads if event.hint else 0.0  # most lie under the mean
         due = min(int(self.now + profile.target + stretch), ends_by)
-        key = event.key if profile.in_order else None
         weight = usual.work.mean(self.now, 2 * usual.guess, 4.0)
         cmd = self.open[event.command] = self.waiting[event.command] = Command(
-            event.command, event.profile, profile, event.group, key, event.hint, work, weight,
-            due, ends_by, self._lot())  # fmt: skip
-        if key is not None:
-            self.turns.setdefault(key, deque()).append(cmd)
+            event.command, event.profile, profile, event.group, event.key if profile.in_order else None,
+            event.hint, work, weight, due, ends_by, self._lot())  # fmt: skip
+        if cmd.key is not None:
+            self.turns.setdefault(cmd.key, deque()).append(cmd)
         self.taken.add(self.now, 0.0)
         usual.asked.add(self.now, work)
         if self.now // (16 * self.shortest) != self.epoch:
@@ -337,7 +336,7 @@
             be.pace = math.exp(be.paces.latest(self.now, calm, ENOUGH / 4, ENOUGH))
             refused = be.full_at is not None and self.now - be.full_at < self.shortest
             full = be.threads >= max(1.0, OPEN_WIDTH * be.cores * self.share)
-            be.pressed = (refused or (full and be.pace > NEAR_BEST * best)
+            be.pressed = (refused or (full and max(be.pace, be.stuck) > NEAR_BEST * best)
                           or max(be.pace, be.overdue) > PRESSURE * best)  # fmt: skip
             be.slice = be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
         cores = sum([be.cores for be in self.ready])
@@ -498,11 +497,12 @@
             self._plan(min(self.now + wait, cmd.ends_by - 2 * self.look_every))
 
     def _adjust(self, be: Backend) -> None:
-        be.overdue = self.calm
+        be.overdue = be.stuck = self.calm
         if be.out:  # guards against an engine so crowded that it answers nothing, and so tells nothing
-            late = sum(min(RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads
-                       for cmd, t in be.out.values() if not t.stalled)  # fmt: skip
-            be.overdue = (late + be.cores * self.calm) / (be.threads + be.cores)
+            late = [(min(RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads, t.stalled)
+                    for cmd, t in be.out.values()]  # fmt: skip
+            be.overdue, be.stuck = ((sum([part for part, stalled in late if count or not stalled])
+                + be.cores * self.calm) / (be.threads + be.cores) for count in (False, True))  # fmt: skip
             if be.aside_until is None and self._silent(be):
                 self._set_aside(be)
         step = 2.0 ** min(1.0, (self.now - self.looked_at) / self.shortest)  # twofold in the shortest target
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -98,6 +98,7 @@
         self.warm: dict[int, int] = {}  # groups last run here, oldest first
         self.paces, self.pace = paces, 1.0  # recent latency over what the work would take alone
         self.overdue, self.pressed = 0.0, False  # the pace that sends still out already show
+        self.stuck = 0.0  # the same with those that stand behind loads: they hold memory
         self.width, self.slice, self.credit = width, 0.0, credit  # slice: threads, as last bounded
         self.full_at: int | None = None
         self.heard, self.failures, self.aside_at = 0, 0, 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -305,3 +305,14 @@
     command = host.take(hint=400 * S, timeout=3 * S)  # a quarter of its expected time is past that
     host.pass_time(3 * S)
     assert len(host.finals(command)) == 1
+
+
+def test_an_engine_full_of_commands_that_stand_behind_a_load_gets_no_more() -> None:
+    host = Host()
+    host.engines(engine(1))
+    host.take(profile=1, group=4, hint=20 * S)
+    for _ in range(14):
+        host.take(group=4)
+    host.pass_time(600 * MS)
+    held = host.take(group=5)
+    assert not host.sends(held)
