--- a/lotusstream/net/engine_list.py
+++ b/lotusstream/net/engine_list.py
@@ -15,8 +15,12 @@
 LINGER = http.TOLD_AFTER // 4  # a poll that falls silent is made anew well before its news counts as told
 
 
-class EngineList(Actor[notices.Notices]):
-    """Its mailbox takes what the board has told; a task beside it polls."""
+class PollNow:
+    """Ask the board for what is new."""
+
+
+class EngineList(Actor[notices.Notices | PollNow]):
+    """Its mailbox takes what is known at the start, then one poll after another."""
 
     def __init__(
         self,
@@ -33,10 +37,19 @@
         self._pool = Pool(endpoint, budget, deployment.connect_timeout, deployment.idle_timeout, LONGEST_NEWS)
         self._last = 0
 
-    async def receive(self, message: notices.Notices) -> None:
-        self.apply(message)
+    async def receive(self, message: notices.Notices | PollNow) -> None:
+        if isinstance(message, notices.Notices):
+            self._apply(message)
+            return
+        began = self._clock.now()
+        try:
+            if not await self._poll():
+                pause = began + self._deployment.connect_timeout - self._clock.now()
+                await asyncio.sleep(max(0, pause) / US)
+        finally:
+            self.post(message)
 
-    def apply(self, told: notices.Notices) -> None:
+    def _apply(self, told: notices.Notices) -> None:
         """Events by their numbers. After a gap, or where the numbers have begun anew, all are asked for."""
         if told.rev < self._last:
             self._last = 0
@@ -54,25 +67,22 @@
             self._last = notice.rev
             self._report(notice)
 
-    async def poll(self) -> None:
-        while True:
-            connection: Connection | None = None
-            began = self._clock.now()
-            target = f"/board/poll?watch={self._last}&linger={LINGER // http.MS}"
-            request = http.request("GET", target, self._host, {})
-            try:
-                connection = await self._pool.get(began)
-                answer = await connection.call(request, LINGER + http.PATIENCE)
-                if answer.status != 200:
-                    raise CallBroken(f"status {answer.status}")
-                self.apply(notices.parse_notices(answer.body, self._deployment))
-                self._pool.put_back(connection, answer, self._clock.now())
-                self.supervisor.counters.add("list polls")
-                continue
-            except (CannotConnect, CallBroken, notices.UnreadableNotices) as error:
-                if connection is not None:
-                    connection.close()
-                self.supervisor.counters.add("list polls failed")
-                self.supervisor.log.say("list", f"poll failed: {error!r}")
-            pause = began + self._deployment.connect_timeout - self._clock.now()
-            await asyncio.sleep(max(0, pause) / US)
+    async def _poll(self) -> bool:
+        connection: Connection | None = None
+        target = f"/board/poll?watch={self._last}&linger={LINGER // http.MS}"
+        request = http.request("GET", target, self._host, {})
+        try:
+            connection = await self._pool.get(self._clock.now())
+            answer = await connection.call(request, LINGER + http.PATIENCE)
+            if answer.status != 200:
+                raise CallBroken(f"status {answer.status}")
+            self._apply(notices.parse_notices(answer.body, self._deployment))
+            self._pool.put_back(connection, answer, self._clock.now())
+        except (CannotConnect, CallBroken, notices.UnreadableNotices) as error:
+            if connection is not None:
+                connection.close()
+            self.supervisor.counters.add("list polls failed")
+            self.supervisor.log.say("list", f"poll failed: {error!r}")
+            return False
+        self.supervisor.counters.add("list polls")
+        return True
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -17,7 +17,7 @@
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider, marked_profiles
-from lotusstream.net.engine_list import EngineList
+from lotusstream.net.engine_list import EngineList, PollNow
 from lotusstream.protocol import notices
 
 MS = 1000
@@ -101,10 +101,10 @@
             raise UnusableConfiguration(f"listen: {error}") from error
         self._listener = listener
         print(f"listening on {self.address[0]}:{self.address[1]}", file=sys.stderr, flush=True)
-        self._list.apply(self._configuration.known)
         self._decider.start()
         self._list.start()
-        self.supervisor.keep("poll", self._list.poll)
+        self._list.post(self._configuration.known)
+        self._list.post(PollNow())
         self.supervisor.keep("accept", lambda: self._accept(listener))
         self.supervisor.keep("watch", self._watch)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -220,7 +220,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.notices: list[dict[str, object]] = []
-        self.raw: bytes | None = None
+        self.raw: bytes | None = None  # said once in place of an answer; nothing at all if empty
         self._changed = asyncio.Event()
 
     def tell(self, *entries: dict[str, object], whole: bool = False) -> None:
@@ -234,7 +234,7 @@
     async def respond(self, call: Call) -> bytes | None:
         if self.raw is not None:
             raw, self.raw = self.raw, None
-            return raw
+            return raw or None
         asked = dict(part.split("=") for part in call.path.partition("?")[2].split("&"))
         if int(asked["watch"]) >= len(self.notices):
             self._changed.clear()
@@ -376,10 +376,10 @@
         await self.run()
         return await self.client()
 
-    async def run(self) -> None:
-        told = {"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "limits": self.limits,
-                "board": f"127.0.0.1:{self.board.port}", "known": self.board.known(),
-                "settings": settings()}  # fmt: skip
+    async def run(self, port: int = 0) -> None:
+        told = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964",
+                "limits": self.limits, "board": f"127.0.0.1:{self.board.port}",
+                "known": self.board.known(), "settings": settings()}  # fmt: skip
         path = self.folder / "config.json"
         path.write_text(json.dumps(told))
         words = ("-m", "lotusstream", "serve", "--config", str(path))
@@ -387,7 +387,8 @@
             sys.executable, *words, stderr=asyncio.subprocess.PIPE
         )
         self._reading = asyncio.create_task(self._read(self.program))
-        line = await self.log.until(lambda line: line.startswith("listening on"))
+        starts = self.log.items.count(f"listening on 127.0.0.1:{port}") if port else 0
+        line = await self.log.until(lambda line: line.startswith("listening on"), starts + 1)
         self.port = int(line.rpartition(":")[2])
 
     async def _read(self, program: asyncio.subprocess.Process) -> None:
@@ -409,7 +410,7 @@
         return next(engine for engine in self.engines if engine.posts())
 
     async def counters(self) -> dict[str, int]:
-        """Printed on a signal; the last line of all is the longest wait of the loop."""
+        """Printed on a signal."""
         assert self.program is not None
         seen = len(self.log.items)
         self.program.send_signal(signal.SIGUSR1)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -127,6 +127,41 @@
     assert len(new.posts()) == 1
 
 
+async def test_an_idle_connection_that_the_engine_closed_carries_no_send(world: World) -> None:
+    client = await world.start()
+    engine = world.engines[0]
+    await client.answer(client.ask())
+    for writer in engine._writers:
+        writer.transport.abort()
+    await client.answer(client.ask("booking"))
+    assert len(engine.posts()) == 2 and (await world.counters()).get("calls broken", 0) == 0
+
+
+async def test_a_poll_that_falls_silent_is_made_anew_before_its_news_counts_as_told(world: World) -> None:
+    world.board.raw = b""
+    client = await world.start("s-2")
+    began = asyncio.get_running_loop().time()
+    world.board.tell(world.engines[0].entry("draining"))
+    await world.board.calls.until(lambda call: "watch=2&" in call.path)
+    assert asyncio.get_running_loop().time() - began < 7
+    await client.answer(client.ask())
+    assert len(world.engines[1].posts()) == 1
+
+
+async def test_a_killed_gateway_starts_again_at_its_address(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    client.ask()
+    await world.engines[0].calls.until(lambda call: call.method == "POST")
+    assert world.program is not None
+    world.program.kill()
+    await world.ended()
+    world.engines[0].acts = "answers"
+    await world.run(world.port)
+    again = await world.client()
+    assert (await again.answer(again.ask()))[1]
+
+
 async def test_a_client_that_gives_up_is_owed_nothing_and_its_send_is_deleted(world: World) -> None:
     client = await world.start()
     engine = world.engines[0]
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from conftest import LIMIT, Failed, World, settings
+from conftest import LIMIT, Failed, Line, StandInEngine, World, settings
 
 from lotusstream import interface as api
 from lotusstream.cli import main
@@ -20,9 +20,9 @@
 from lotusstream.net.buffer import Buffer, BufferFull
 from lotusstream.net.client import ClientLeft, Reply, TakenCommand
 from lotusstream.net.clock import Clock
-from lotusstream.net.connection import Connection, NoDescriptor, SocketBudget
+from lotusstream.net.connection import Connection, NoDescriptor, Pool, SocketBudget
 from lotusstream.net.decider import Decider
-from lotusstream.net.engine import SendEnded
+from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, SendEnded, SetPriority, StartSend
 from lotusstream.policy import Gateway
 from lotusstream.protocol import front
 from lotusstream.protocol.tables import table_group
@@ -208,6 +208,74 @@
     assert [reply.ends for reply in desk.client.replies] == [again]
 
 
+@pytest.fixture
+async def engine() -> Any:
+    """An engine's actor and the stand-in that it talks to; `told` takes its reports."""
+    supervisor, stand_in, told = Supervisor(), StandInEngine("s-1"), Line()
+    await stand_in.start()
+    stand_in.acts = "holds"
+    endpoint = ("127.0.0.1", stand_in.port)
+    actor = EngineActor(b"s-1", endpoint, SocketBudget(8), 250_000, 30_000_000, Clock(), told.add, supervisor)
+    actor.start()
+    yield SimpleNamespace(actor=actor, stand_in=stand_in, told=told)
+    await supervisor.stop()
+    stand_in.die()
+
+
+def start_send(number: int = 0, left: int = 6_000_000) -> StartSend:
+    now = Clock().now()
+    return StartSend(1, number, now, now + left, "0" * 16, "lookup", b"SELECT", None, None)
+
+
+async def test_a_new_priority_goes_to_a_running_send_beside_its_wait(engine: Any) -> None:
+    engine.actor.post(start_send())
+    await engine.stand_in.calls.until(lambda call: call.method == "GET")
+    engine.actor.post(SetPriority(1, 0, 3))
+    put = await engine.stand_in.calls.until(lambda call: call.method == "PUT")
+    assert put.body == b"3" and put.path == "/x/" + "0" * 16
+
+
+async def test_a_send_that_waits_for_a_connection_stays_here_once_its_engine_drains(
+    engine: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked, up, get = asyncio.Event(), asyncio.Event(), Pool.get
+
+    async def slow(pool: Pool, now: int) -> Connection:
+        asked.set()
+        await up.wait()
+        return await get(pool, now)
+
+    monkeypatch.setattr(Pool, "get", slow)
+    engine.actor.post(start_send())
+    await asyncio.wait_for(asked.wait(), LIMIT)
+    engine.actor.post(ListedAs(ready=False, restarted=False))
+    while len(engine.actor.mailbox):
+        await asyncio.sleep(0)
+    up.set()
+    ended = await engine.told.until(lambda fact: True)
+    assert ended.outcome is api.Outcome.MOOT and not engine.stand_in.calls.items
+
+
+async def test_each_send_ends_once_at_its_time_out_and_is_deleted(engine: Any) -> None:
+    engine.actor.post(start_send(left=100_000))
+    ended = await engine.told.until(lambda fact: isinstance(fact, SendEnded))
+    await engine.stand_in.calls.until(lambda call: call.method == "DELETE")
+    engine.actor.post(CancelSend(1, 0))
+    engine.actor.post(start_send(1, left=100_000))
+    await engine.told.until(lambda fact: fact.number == 1)
+    assert ended.outcome is api.Outcome.TIMED_OUT
+    assert [fact.number for fact in engine.told.items] == [0, 1]
+
+
+async def test_a_cancelled_send_ends_as_cancelled_once_its_engine_has_been_told(engine: Any) -> None:
+    engine.actor.post(start_send())
+    await engine.stand_in.calls.until(lambda call: call.method == "POST")
+    engine.actor.post(CancelSend(1, 0))
+    ended = await engine.told.until(lambda fact: isinstance(fact, SendEnded))
+    assert ended.outcome is api.Outcome.CANCELLED
+    assert [call.method for call in engine.stand_in.calls.items].count("DELETE") == 1
+
+
 async def test_no_descriptor_for_a_client_is_waited_out(world: World) -> None:
     client = await world.start()
     assert world.program is not None
