Signal handlers stand before the first connection; the idna codec is loaded at the start

Seen in the suite run eight times at once: a gateway that got a signal between its listening line and the handlers ended by it (no process left, no log), cli.py run_gateway; and a connect made first while out of descriptors raised LookupError, unknown encoding idna, since uvloop's connect looks the codec up lazily. Ruled out: a busy loop or a lost signal (no process was left to look at).

--- a/lotusstream/cli.py
+++ b/lotusstream/cli.py
@@ -34,11 +34,11 @@
 async def run_gateway(configuration: Configuration) -> None:
     """Until SIGTERM or SIGINT, then a planned stop. SIGUSR1 prints the counters."""
     server = GatewayServer(configuration)
-    await server.start()
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGTERM, signal.SIGINT):  # before anything is taken: no signal finds none of these
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGUSR1, server.print_counters)
+    await server.start()
     await stop.wait()
     await server.drain()
     await server.stop()
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import encodings.idna  # noqa: F401 - the loop's connect looks for it, and may first do so out of descriptors
 import socket
 
 from lotusstream.net.buffer import Buffer, BufferFull
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import resource
+import sys
 import time
 from pathlib import Path
 from types import SimpleNamespace
@@ -330,7 +331,10 @@
     told = json.loads(path.read_text()) | {"listen": f"127.0.0.1:{world.port}"}
     path.write_text(json.dumps(told))
     assert await asyncio.to_thread(main, ["probe", "--config", str(path)]) == 0
-    assert await asyncio.to_thread(main, ["serve", "--config", str(path)]) == 2
+    words = ("-m", "lotusstream", "serve", "--config", str(path))
+    second = await asyncio.create_subprocess_exec(sys.executable, *words, stderr=asyncio.subprocess.PIPE)
+    _, said = await asyncio.wait_for(second.communicate(), LIMIT)
+    assert second.returncode == 2 and said.startswith(b"lotusstream: listen:") and said.count(b"\n") == 1
 
 
 async def test_a_stopping_gateway_fails_its_probe(world: World) -> None:
