--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -37,6 +37,13 @@
     command: TakenCommand
 
 
+@dataclass(frozen=True, slots=True)
+class Overdue:
+    """The client's time for this command is over, and it has had no answer."""
+
+    command: TakenCommand
+
+
 @dataclass(frozen=True, slots=True)
 class Reply:
     frame: bytes
@@ -142,6 +149,9 @@
             self._unread.taken(self, len(message.frame))
         except OSError:
             self._end()
+        except Exception:
+            self._end()
+            raise
 
     def _handle(self, frame: bytes, at: int) -> None:
         try:
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -11,7 +11,7 @@
 from lotusstream.deployment import Deployment
 from lotusstream.interface import Effect, Outcome
 from lotusstream.net.actor import Actor, Supervisor
-from lotusstream.net.client import ClientLeft, Reply, TakenCommand
+from lotusstream.net.client import ClientLeft, Overdue, Reply, TakenCommand
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, SocketBudget
 from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, SendEnded, SetPriority, StartSend
@@ -35,7 +35,9 @@
     """A timer of the module has come due."""
 
 
-DeciderMessage = TakenCommand | ClientLeft | SendEnded | api.Noted | notices.Notice | api.Stopping | Ring
+DeciderMessage = (
+    TakenCommand | ClientLeft | Overdue | SendEnded | api.Noted | notices.Notice | api.Stopping | Ring
+)
 
 
 class Decider(Actor[DeciderMessage]):
@@ -78,10 +80,7 @@
             pause = self._last_round + self._started.period - self._clock.now()
             if pause > 0:
                 await asyncio.sleep(pause / US)
-            try:
-                self._round()
-            except Exception as error:
-                self.supervisor.failed("a round of the decider", error)
+            self._round()
 
     # What is told
 
@@ -90,7 +89,12 @@
         self._now = self._last_round = max(self._now, self._clock.now())
         actions: list[api.Action] = []
         while (message := self.mailbox.take()) is not None:
-            if (event := self._event(message)) is not None:
+            try:
+                event = self._event(message)
+            except Exception as error:
+                self.supervisor.failed(f"decider, {type(message).__name__}", error)
+                continue
+            if event is not None:
                 actions += self._tell(event)
         while self._timers and self._timers[0][0] <= self._now:
             actions += self._tell(api.Woken(heapq.heappop(self._timers)[1]))
@@ -105,6 +109,8 @@
                 return self._take(message)
             case ClientLeft(command):
                 return self._left(command)
+            case Overdue(command):
+                return self._overdue(command)
             case SendEnded():
                 return self._ended(message)
             case api.Noted():
@@ -145,6 +151,14 @@
         self._close(held)
         return api.ClientGone(held.id)
 
+    def _overdue(self, taken: TakenCommand) -> api.Event | None:
+        """Guards the client against a module that forgot its command."""
+        if (held := self._by_taken.get(taken)) is None:
+            return None
+        self._answer(held, front.encode_failure(taken.seqid, "not answered"), "failed")
+        self.supervisor.invariants.hold("a command is answered in its client's time", False)
+        return api.ClientGone(held.id)
+
     def _ended(self, told: SendEnded) -> api.Event | None:
         held = self._held.get(told.command)
         once = held is not None and told.number in held.out
@@ -217,7 +231,12 @@
             self._retired.discard(actor)
             actor.close()
 
-    def trim(self) -> None:
+    def look_after(self) -> None:
+        """Now and then: what is overdue, idle or retired."""
+        now = self._clock.now()
+        for taken in self._by_taken:
+            if now > taken.ends_by:
+                self.post(Overdue(taken))
         for actor in self._engines.values():
             actor.trim()
         if self._retired:
@@ -231,7 +250,11 @@
         except Exception:
             self.supervisor.counters.add("module failed")
             self.supervisor.log.say("module failed", f"at {event}\n{traceback.format_exc()}")
+        try:
             return self._begin_anew()
+        except Exception as error:
+            self.supervisor.failed("a new module", error)
+            return []
 
     def _begin_anew(self) -> list[api.Action]:
         """What it was about is unknown: every open command fails, and a new module starts from nothing."""
@@ -248,25 +271,31 @@
 
     def _carry_out(self, actions: list[api.Action]) -> None:
         for action in actions:
-            match action:
-                case api.Send():
-                    self._send(action)
-                case api.Cancel(command, send):
-                    if held := self._held.get(command):
-                        self._cancel(held, send)
-                case api.Resources(command, _, priority):
-                    if held := self._held.get(command):
-                        self._set_priority(held, priority)
-                case api.Shed(command, come_back_after):
-                    if held := self._owed(command):
-                        self._answer(held, front.encode_shed(held.taken.seqid, come_back_after), "shed")
-                case api.Fail(command):
-                    if held := self._owed(command):
-                        self._answer(held, front.encode_failure(held.taken.seqid, "not answered"), "failed")
-                case api.Wake(at, token):
-                    heapq.heappush(self._timers, (at, token))
-                case _:
-                    self.supervisor.invariants.hold(f"{type(action).__name__} is never asked for here", False)
+            try:
+                self._act(action)
+            except Exception as error:
+                self.supervisor.failed(f"decider, {type(action).__name__}", error)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Cancel(command, send):
+                if held := self._held.get(command):
+                    self._cancel(held, send)
+            case api.Resources(command, _, priority):
+                if held := self._held.get(command):
+                    self._set_priority(held, priority)
+            case api.Shed(command, come_back_after):
+                if held := self._owed(command):
+                    self._answer(held, front.encode_shed(held.taken.seqid, come_back_after), "shed")
+            case api.Fail(command):
+                if held := self._owed(command):
+                    self._answer(held, front.encode_failure(held.taken.seqid, "not answered"), "failed")
+            case api.Wake(at, token):
+                heapq.heappush(self._timers, (at, token))
+            case _:
+                self.supervisor.invariants.hold(f"{type(action).__name__} is never asked for here", False)
 
     def _owed(self, command: int) -> Held | None:
         """The command, where an answer is still owed: the client may have left a moment ago."""
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -49,6 +49,8 @@
         if listen is None or board is None:
             raise UnusableConfiguration("configuration: 'listen' and 'board' are to be host:port")
         deployment = read_settings(int(raw["seed"], 16) % 2**64, raw["settings"])
+        if not deployment.profiles:
+            raise UnusableConfiguration("configuration: no profile in the settings")
         return Configuration(
             name=str(raw["name"]),
             listen=listen,
@@ -154,7 +156,7 @@
             await asyncio.sleep(pause / US)
             self.supervisor.counters.peak("stall of the loop, us", self._clock.now() - before - pause)
             self.supervisor.counters.peak("connections to engines", self._budget.used)
-            self._decider.trim()
+            self._decider.look_after()
 
     async def drain(self) -> None:
         """A planned stop: takes what still comes, and returns once all is answered or time is up."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,7 +6,7 @@
 import signal
 
 import pytest
-from conftest import Failed, StandInClient, StandInEngine, World, http_answer
+from conftest import LIMIT, Failed, StandInClient, StandInEngine, World, http_answer
 
 
 async def failure(client: StandInClient, seqid: int) -> Failed:
@@ -148,6 +148,18 @@
     assert len(world.engines[1].posts()) == 1
 
 
+async def test_a_board_whose_numbers_begin_anew_is_asked_for_all(world: World) -> None:
+    client = await world.start("s-2")
+    world.board.tell()
+    await world.board.calls.until(lambda call: "watch=2&" in call.path)
+    world.board.notices.clear()
+    world.board.tell(world.engines[0].entry("draining"), world.engines[1].entry(), whole=True)
+    await world.board.calls.until(lambda call: "watch=0&" in call.path)
+    await world.board.calls.until(lambda call: "watch=1&" in call.path, 2)
+    await client.answer(client.ask())
+    assert len(world.engines[1].posts()) == 1
+
+
 async def test_a_killed_gateway_starts_again_at_its_address(world: World) -> None:
     client = await world.start()
     world.engines[0].acts = "holds"
@@ -238,10 +250,11 @@
     deaf._task.cancel()
     await asyncio.gather(deaf._task, return_exceptions=True)
     deaf._reader._transport.pause_reading()
-    while (await world.counters()).get("client connections cut off", 0) == 0:
-        for _ in range(30):
-            deaf.ask()
-        assert await client.probe()
+    async with asyncio.timeout(LIMIT):
+        while (await world.counters()).get("client connections cut off", 0) == 0:
+            for _ in range(30):
+                deaf.ask()
+            assert await client.probe()
     world.engines[0].pages = [b"1\t2\t3\n"]
     assert await client.answer(client.ask()) == (b"1\t2\t3\n", True)
 
@@ -258,7 +271,7 @@
     client = await world.start()
     bad = await world.client()
     bad.raw(frame)
-    await asyncio.wait_for(bad.closed.wait(), 20)
+    await asyncio.wait_for(bad.closed.wait(), LIMIT)
     assert (await client.answer(client.ask()))[1]
 
 
@@ -267,7 +280,7 @@
     client = await world.start()
     bad = await world.client()
     bad.writer.write(length.to_bytes(4, "big", signed=True))
-    await asyncio.wait_for(bad.closed.wait(), 20)
+    await asyncio.wait_for(bad.closed.wait(), LIMIT)
     assert (await client.answer(client.ask()))[1]
 
 
@@ -327,7 +340,7 @@
     client.ask()
     client.seqid -= 1
     client.ask()
-    await asyncio.wait_for(client.closed.wait(), 20)
+    await asyncio.wait_for(client.closed.wait(), LIMIT)
     assert await (await world.client()).probe()
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -201,6 +201,27 @@
     assert [reply.ends.seqid for reply in desk.client.replies] == [5]
 
 
+async def test_a_command_that_the_module_forgot_is_failed_at_its_time(
+    desk: Any, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(desk.supervisor.invariants, "hold", lambda what, true: true)  # as a release run does
+    gone: list[int] = []
+
+    def forgetful(self: Gateway, now: int, event: api.Event) -> list[api.Action]:
+        gone.extend([event.command] if isinstance(event, api.ClientGone) else [])
+        return []
+
+    monkeypatch.setattr(Gateway, "handle", forgetful)
+    desk.decider.post(taken(desk, 1, 50_000))
+    async with asyncio.timeout(LIMIT):
+        while not desk.client.replies:
+            desk.decider.look_after()
+            await asyncio.sleep(0)
+        while not gone:
+            await asyncio.sleep(0)
+    assert len(desk.client.replies) == 1 and gone == [1]
+
+
 async def test_a_call_that_is_open_already_is_not_sent_beside_itself(desk: Any) -> None:
     desk.decider.post(taken(desk, 6))
     again = taken(desk, 6)
@@ -257,6 +278,21 @@
     assert ended.outcome is api.Outcome.MOOT and not engine.stand_in.calls.items
 
 
+async def test_a_defect_in_a_send_is_its_end_and_no_more(
+    engine: Any, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    def broken(*_: object) -> None:
+        raise ZeroDivisionError
+
+    with monkeypatch.context() as patch:
+        patch.setattr("lotusstream.protocol.http.start_headers", broken)
+        engine.actor.post(start_send())
+        ended = await engine.told.until(lambda fact: True)
+    engine.actor.post(start_send(1))
+    await engine.stand_in.calls.until(lambda call: call.method == "POST")
+    assert ended.outcome is api.Outcome.MOOT and "ZeroDivisionError" in capsys.readouterr().err
+
+
 async def test_each_send_ends_once_at_its_time_out_and_is_deleted(engine: Any) -> None:
     engine.actor.post(start_send(left=100_000))
     ended = await engine.told.until(lambda fact: isinstance(fact, SendEnded))
@@ -296,6 +332,7 @@
     [
         (lambda told: told.pop("board"), "'board' is missing"),
         (lambda told: told["settings"].pop("request_classes"), "request_classes"),
+        (lambda told: told["settings"].update(request_classes=[]), "no profile"),
         (lambda told: told["limits"].pop("sockets"), "'sockets' is missing"),
         (lambda told: told.update(seed="no"), "invalid literal"),
         (lambda told: told.update(listen="here"), "host:port"),
