--- a/lotusstream/net/buffer.py
+++ b/lotusstream/net/buffer.py
@@ -1,4 +1,4 @@
-"""One connection's buffer: grows as it needs and is compacted in place."""
+"""One connection's buffer: grows as it needs, is compacted in place and small again once empty."""
 
 from __future__ import annotations
 
@@ -9,13 +9,15 @@
 
 class Buffer:
     def __init__(self, first: int, most: int) -> None:
-        self._bytes, self._most = bytearray(first), most
+        self._bytes, self._first, self._most = bytearray(first), first, most
         self._start = self._end = 0
 
     def space(self) -> memoryview:
         """Room to receive into; `filled` tells how much of it was used."""
         if self._start == self._end:
             self._start = self._end = 0
+            if len(self._bytes) > self._first:
+                self._bytes = bytearray(self._first)
         if self._end == len(self._bytes):
             if self._start:
                 kept = self._end - self._start
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -161,9 +161,13 @@
         if not self.ready or running.cancelled:  # since it was started: nothing new goes out
             connection.close()
             return self._end(running, Outcome.CANCELLED if running.cancelled else Outcome.MOOT)
-        left = start.ends_at - self._clock.now()
-        headers = http.start_headers(start.call, start.profile, left, start.mark, running.priority)
-        request = http.request("POST", "/x", self._host, headers, start.statement)
+        try:
+            left = start.ends_at - self._clock.now()
+            headers = http.start_headers(start.call, start.profile, left, start.mark, running.priority)
+            request = http.request("POST", "/x", self._host, headers, start.statement)
+        except Exception:
+            connection.close()
+            raise
         running.posted = True
         self.supervisor.counters.add("sends posted")
         news_call = http.request("GET", f"/x/{start.call}/0", self._host, {})
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -76,6 +76,8 @@
     buffer.filled(4)
     with pytest.raises(BufferFull):
         buffer.space()
+    buffer.use(8)
+    assert len(buffer.space()) == 4
 
 
 def test_a_step_of_the_system_clock_is_no_step_here(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -237,9 +239,10 @@
     await stand_in.start()
     stand_in.acts = "holds"
     endpoint = ("127.0.0.1", stand_in.port)
-    actor = EngineActor(b"s-1", endpoint, SocketBudget(8), 250_000, 30_000_000, Clock(), told.add, supervisor)
+    budget = SocketBudget(8)
+    actor = EngineActor(b"s-1", endpoint, budget, 250_000, 30_000_000, Clock(), told.add, supervisor)
     actor.start()
-    yield SimpleNamespace(actor=actor, stand_in=stand_in, told=told)
+    yield SimpleNamespace(actor=actor, stand_in=stand_in, told=told, budget=budget)
     await supervisor.stop()
     stand_in.die()
 
@@ -290,7 +293,8 @@
         ended = await engine.told.until(lambda fact: True)
     engine.actor.post(start_send(1))
     await engine.stand_in.calls.until(lambda call: call.method == "POST")
-    assert ended.outcome is api.Outcome.MOOT and "ZeroDivisionError" in capsys.readouterr().err
+    assert engine.budget.used == 1 and ended.outcome is api.Outcome.MOOT
+    assert "ZeroDivisionError" in capsys.readouterr().err
 
 
 async def test_each_send_ends_once_at_its_time_out_and_is_deleted(engine: Any) -> None:
