A send cancelled before its task began is told as ended

Found in a last reading, shown by a story that timed out without the change: engine.py _cancel cancelled a task that had not had its first step, whose body and finally then never run, so the module kept that send out for ever.

--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -262,8 +262,10 @@
         running.cancelled = True
         if running.posted:
             self.supervisor.start(f"{self.name} delete", self._delete(running))
-        elif running.task is not None:
+        elif running.task is not None:  # told here: a task that has not begun comes to no `finally`
             running.task.cancel()
+            self._end(running, Outcome.CANCELLED)
+            self._running.pop((running.start.command, running.start.number), None)
 
     async def _delete(self, running: Running) -> None:
         try:
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -20,7 +20,7 @@
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
 PRESSURE, NEAR_BEST, STRAINED = 2.0, 1.5, 0.1  # latency over the best; cores pressed that bound all
 WARM_GROUPS, WARM_WORTH = 4, 0.75  # groups that an engine keeps warm; work left to their commands
-FAILURES, HIGHEST, NEVER = 3, 3, 2**62  # in a row, that set an engine aside; the highest priority
+FAILURES, HIGHEST, NEVER = 3, 3, 2**62  # in a row, that set an engine aside; top priority; no stop
 CREDIT_START, CREDIT_MOST, CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
@@ -96,7 +96,7 @@
         self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
         self.even = self.share = 1.0 / event.gateways
-        self.in_hand, self.paces = (Ring(many * self.shortest, BUCKETS) for many in (4, 8))
+        self.in_hand, self.paces = (Ring(many * self.shortest, BUCKETS) for many in (4, 8))  # own, all
         self.unprobed, self.probed = 0, int(self._chance() * PROBE_EVERY)
         self.look_every = max(event.period, self.shortest // 20)
         self.taken, self.extras = (Ring(self.duties.extra_span, BUCKETS) for _ in range(2))
@@ -498,7 +498,7 @@
 
     def _adjust(self, be: Backend) -> None:
         be.overdue = be.stuck = self.calm
-        if be.out:  # guards against an engine so crowded that it answers nothing, and so tells nothing
+        if be.out:  # guards against an engine so crowded, or full of what stands still, that it tells nothing
             late = [(min(RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads, t.stalled)
                     for cmd, t in be.out.values()]  # fmt: skip
             be.overdue, be.stuck = ((sum([part for part, stalled in late if count or not stalled])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -308,6 +308,13 @@
     assert [fact.number for fact in engine.told.items] == [0, 1]
 
 
+async def test_a_send_cancelled_before_it_began_ends_too(engine: Any) -> None:
+    engine.actor.post(start_send())
+    engine.actor.post(CancelSend(1, 0))
+    ended = await engine.told.until(lambda fact: True)
+    assert ended.outcome is api.Outcome.CANCELLED and not engine.stand_in.calls.items
+
+
 async def test_a_cancelled_send_ends_as_cancelled_once_its_engine_has_been_told(engine: Any) -> None:
     engine.actor.post(start_send())
     await engine.stand_in.calls.until(lambda call: call.method == "POST")
