--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -143,6 +143,7 @@
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
         self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
         self._idle: dict[Connection, None] = {}
+        self._closed = False
 
     async def get(self, now: int, *, ends_things: bool = False, fresh: bool = False) -> Connection:
         self.trim(now)
@@ -157,7 +158,7 @@
         )
 
     def put_back(self, connection: Connection, answer: http.Answer, now: int) -> None:
-        if not answer.reusable:
+        if not answer.reusable or self._closed:
             connection.close()
             return
         connection.idle_since = now
@@ -173,6 +174,11 @@
         while self._idle and now - (oldest := next(iter(self._idle))).idle_since >= self._keep:
             self.drop(oldest)
 
+    def close(self) -> None:
+        """Calls that are still out may end; none of their connections is kept."""
+        self._closed = True
+        self.clear()
+
     def clear(self) -> None:
         for connection in list(self._idle):
             self.drop(connection)
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -128,7 +128,7 @@
         self._pool.trim(self._clock.now())
 
     def close(self) -> None:
-        self._pool.clear()
+        self._pool.close()
         if self._task is not None:
             self._task.cancel()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -308,6 +308,15 @@
     assert [fact.number for fact in engine.told.items] == [0, 1]
 
 
+async def test_an_engine_that_is_gone_keeps_no_connection(engine: Any) -> None:
+    engine.stand_in.acts = "answers"
+    engine.actor.post(start_send())
+    await engine.stand_in.calls.until(lambda call: call.method == "POST")
+    engine.actor.close()
+    await engine.told.until(lambda fact: isinstance(fact, SendEnded))
+    assert engine.budget.used == 0
+
+
 async def test_a_send_cancelled_before_it_began_ends_too(engine: Any) -> None:
     engine.actor.post(start_send())
     engine.actor.post(CancelSend(1, 0))
