--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -83,7 +83,6 @@
         self,
         sock: socket.socket,
         deployment: Deployment,
-        marked: tuple[bool, ...],
         clock: Clock,
         report: ClientReport,
         good: Callable[[], bool],
@@ -91,7 +90,7 @@
         supervisor: Supervisor,
     ) -> None:
         super().__init__("client", supervisor)
-        self._sock, self._deployment, self._marked = sock, deployment, marked
+        self._sock, self._deployment = sock, deployment
         self._clock, self._report, self._good, self._unread = clock, report, good, unread
         self._cut_off = False
         self.open: dict[int, TakenCommand] = {}
@@ -177,7 +176,7 @@
         try:
             if len(self.open) >= front.MOST_OPEN:
                 raise front.UnusableCommand("too many open")
-            fields = front.command_fields(message.fields, self._deployment.profiles, self._marked)
+            fields = front.command_fields(message.fields, self._deployment)
             group = table_group(message.body.decode())
             if group is None:
                 raise front.UnusableCommand("the statement names no group of tables")
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -7,6 +7,7 @@
 import socket
 
 from lotusstream.net.buffer import Buffer, BufferFull
+from lotusstream.net.clock import Clock
 from lotusstream.protocol import http
 
 US = 1_000_000
@@ -139,14 +140,16 @@
         connect_timeout: int,
         idle_timeout: int,
         longest_body: int,
+        clock: Clock,
     ) -> None:
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
+        self._clock = clock
         self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
         self._idle: dict[Connection, None] = {}
         self._closed = False
 
-    async def get(self, now: int, *, ends_things: bool = False, fresh: bool = False) -> Connection:
-        self.trim(now)
+    async def get(self, *, ends_things: bool = False, fresh: bool = False) -> Connection:
+        self.trim()
         while self._idle and not fresh:
             connection, _ = self._idle.popitem()
             self._budget.works(connection)
@@ -157,11 +160,21 @@
             self._endpoint, self.connect_timeout, self._budget, self._longest, ends_things=ends_things
         )
 
-    def put_back(self, connection: Connection, answer: http.Answer, now: int) -> None:
+    async def call(self, connection: Connection, request: bytes, patience: int) -> http.Answer:
+        """One call on a connection that was got from here; afterwards it is idle or closed."""
+        try:
+            answer = await connection.call(request, patience)
+        except BaseException:
+            connection.close()
+            raise
+        self._put_back(connection, answer)
+        return answer
+
+    def _put_back(self, connection: Connection, answer: http.Answer) -> None:
         if not answer.reusable or self._closed:
             connection.close()
             return
-        connection.idle_since = now
+        connection.idle_since = self._clock.now()
         self._idle[connection] = None
         self._budget.rests(connection, self)
 
@@ -169,8 +182,9 @@
         self._idle.pop(connection, None)
         connection.close()
 
-    def trim(self, now: int) -> None:
+    def trim(self) -> None:
         """Idle ones stand in the order of their last use."""
+        now = self._clock.now()
         while self._idle and now - (oldest := next(iter(self._idle))).idle_since >= self._keep:
             self.drop(oldest)
 
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -9,7 +9,7 @@
 
 from lotusstream import interface as api
 from lotusstream.deployment import Deployment
-from lotusstream.interface import Effect, Outcome
+from lotusstream.interface import Outcome
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.client import ClientLeft, Overdue, Reply, TakenCommand
 from lotusstream.net.clock import Clock
@@ -375,7 +375,3 @@
     def _ring(self) -> None:
         self._armed = None
         self.post(Ring())
-
-
-def marked_profiles(deployment: Deployment) -> tuple[bool, ...]:
-    return tuple(profile.effect is Effect.UNIQUED for profile in deployment.started.profiles)
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -102,7 +102,7 @@
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
         self._host = f"{endpoint[0]}:{endpoint[1]}"
-        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES)
+        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES, clock)
         self._clock, self._report = clock, report
         self._running: dict[tuple[int, int], Running] = {}
 
@@ -125,7 +125,7 @@
                     self._pool.clear()
 
     def trim(self) -> None:
-        self._pool.trim(self._clock.now())
+        self._pool.trim()
 
     def close(self) -> None:
         self._pool.close()
@@ -152,7 +152,7 @@
         start = running.start
         connection: Connection | None = None
         try:
-            connection = await self._pool.get(self._clock.now())
+            connection = await self._pool.get()
         except NoDescriptor:
             self.supervisor.counters.add("sends without a descriptor")
             return self._end(running, Outcome.MOOT)
@@ -176,15 +176,14 @@
             if isinstance(answer, Outcome):
                 return self._end(running, answer)
             news = http.query_news(answer)
-            if running.ended or news.news is not http.News.RUNNING:
+            if running.ended or news.outcome is not None:
                 break
             if news.note is not None:
                 self._report(api.Noted(start.command, start.number, self.engine, news.note, news.amount))
             connection, request = None, news_call
-        if news.news is http.News.DONE and not running.ended:
+        if news.outcome is Outcome.ANSWERED and not running.ended:
             return await self._collect(running, answer, news)
-        outcome = {http.News.FULL: Outcome.FULL, http.News.OVER: Outcome.MOOT}
-        return self._end(running, outcome.get(news.news, Outcome.ERROR))
+        return self._end(running, news.outcome or Outcome.ERROR)
 
     async def _ask(
         self, running: Running, connection: Connection | None, request: bytes, again: bytes
@@ -199,19 +198,13 @@
                 await asyncio.sleep(pause / US)
             began = self._clock.now()
             try:
-                connection = connection or await self._pool.get(began, fresh=tries > 0)
-                answer = await connection.call(request, http.PATIENCE)
-                self._pool.put_back(connection, answer, self._clock.now())
-                return answer
+                connection = connection or await self._pool.get(fresh=tries > 0)
+                return await self._pool.call(connection, request, http.PATIENCE)
             except Refused:
                 return Outcome.RESET
             except CannotConnect:
                 self.supervisor.counters.add("calls not connected")
-            except BaseException as error:
-                if connection is not None:
-                    connection.close()
-                if not isinstance(error, CallBroken):
-                    raise
+            except CallBroken as error:
                 self.supervisor.counters.add("calls broken")
                 self.supervisor.log.say("call broken", f"{self.name}: {error}")
                 if isinstance(error, CallGarbled):
@@ -278,16 +271,10 @@
         await self._tell(http.request("PUT", f"/x/{running.start.call}", self._host, {}, body))
 
     async def _tell(self, request: bytes) -> None:
-        connection: Connection | None = None
         try:
-            connection = await self._pool.get(self._clock.now(), ends_things=True)
-            answer = await connection.call(request, http.PATIENCE)
-            self._pool.put_back(connection, answer, self._clock.now())
+            connection = await self._pool.get(ends_things=True)
+            await self._pool.call(connection, request, http.PATIENCE)
         except CannotConnect:
             self.supervisor.counters.add("calls not connected")
-        except BaseException as error:
-            if connection is not None:
-                connection.close()
-            if not isinstance(error, CallBroken):
-                raise
+        except CallBroken:
             self.supervisor.counters.add("calls broken")
--- a/lotusstream/net/engine_list.py
+++ b/lotusstream/net/engine_list.py
@@ -8,7 +8,7 @@
 from lotusstream.deployment import Deployment
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.clock import Clock
-from lotusstream.net.connection import US, CallBroken, CannotConnect, Connection, Endpoint, Pool, SocketBudget
+from lotusstream.net.connection import US, CallBroken, CannotConnect, Endpoint, Pool, SocketBudget
 from lotusstream.protocol import http, notices
 
 LONGEST_NEWS = 8 << 20
@@ -34,7 +34,8 @@
         self._deployment, self._clock, self._report = deployment, clock, report
         self._host = f"{endpoint[0]}:{endpoint[1]}"
         budget = SocketBudget(8)
-        self._pool = Pool(endpoint, budget, deployment.connect_timeout, deployment.idle_timeout, LONGEST_NEWS)
+        connect, idle = deployment.connect_timeout, deployment.idle_timeout
+        self._pool = Pool(endpoint, budget, connect, idle, LONGEST_NEWS, clock)
         self._last = 0
 
     async def receive(self, message: notices.Notices | PollNow) -> None:
@@ -68,19 +69,15 @@
             self._report(notice)
 
     async def _poll(self) -> bool:
-        connection: Connection | None = None
         target = f"/board/poll?watch={self._last}&linger={LINGER // http.MS}"
         request = http.request("GET", target, self._host, {})
         try:
-            connection = await self._pool.get(self._clock.now())
-            answer = await connection.call(request, LINGER + http.PATIENCE)
+            answer = await self._pool.call(await self._pool.get(), request, LINGER + http.PATIENCE)
             if answer.status != 200:
                 raise CallBroken(f"status {answer.status}")
             self._apply(notices.parse_notices(answer.body, self._deployment))
-            self._pool.put_back(connection, answer, self._clock.now())
         except (CannotConnect, CallBroken, notices.UnreadableNotices) as error:
-            if connection is not None:
-                connection.close()
+            self._pool.clear()
             self.supervisor.counters.add("list polls failed")
             self.supervisor.log.say("list", f"poll failed: {error!r}")
             return False
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -16,14 +16,14 @@
 from lotusstream.net.client import ClientConnection, Unread
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
-from lotusstream.net.decider import Decider, marked_profiles
+from lotusstream.net.decider import Decider
 from lotusstream.net.engine_list import EngineList, PollNow
 from lotusstream.protocol import notices
 
 MS = 1000
 STAY = 700 * MS  # after a planned stop is told: what comes that late is not this gateway's any more
 COME_ON = 600 * MS  # and until then commands still come
-ACCEPT_PAUSE = 0.01  # seconds
+PAUSE = 0.01  # seconds
 LONGEST_WAIT = 3000 * MS  # that much of the longest client timeout is left after that
 
 
@@ -77,7 +77,6 @@
         self._most_clients = most // 3 + spare
         self._budget = SocketBudget(most - self._most_clients - spare)
         self._clients, self._unread = 0, Unread(memory // 8)
-        self._marked = marked_profiles(deployment)
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor)
         self._list = EngineList(
             configuration.board, deployment, self._clock, self._decider.post, self.supervisor
@@ -117,13 +116,13 @@
         loop = asyncio.get_running_loop()
         while True:
             while self._clients >= self._most_clients:
-                await asyncio.sleep(ACCEPT_PAUSE)
+                await asyncio.sleep(PAUSE)
             try:
                 sock, _ = await loop.sock_accept(listener)
             except OSError as error:  # out of descriptors, or the peer has left already
                 self.supervisor.counters.add("accepts failed")
                 self.supervisor.log.say("accept", str(error))
-                await asyncio.sleep(ACCEPT_PAUSE)
+                await asyncio.sleep(PAUSE)
                 continue
             self.supervisor.start("client", self._serve(sock))
 
@@ -137,7 +136,6 @@
             client = ClientConnection(
                 sock,
                 self._configuration.deployment,
-                self._marked,
                 self._clock,
                 self._decider.post,
                 self._good,
@@ -168,7 +166,7 @@
         while (now := self._clock.now()) < by:
             if now >= began + STAY and not (self._decider.open_commands or self._unread.total):
                 break
-            await asyncio.sleep(ACCEPT_PAUSE)
+            await asyncio.sleep(PAUSE)
 
     def print_counters(self) -> None:
         print("\n".join([*self.supervisor.counters.lines(), "counters end"]), file=sys.stderr, flush=True)
--- a/lotusstream/protocol/front.py
+++ b/lotusstream/protocol/front.py
@@ -12,6 +12,9 @@
 from thrift.Thrift import TApplicationException, TMessageType, TType
 from thrift.transport.TTransport import TMemoryBuffer
 
+from lotusstream.deployment import Deployment
+from lotusstream.interface import Effect
+
 FRAME = struct.Struct("!i")
 LONGEST_FRAME = 256 << 10
 MOST_FIELDS = 256
@@ -156,19 +159,16 @@
     return float(fields[name])
 
 
-def command_fields(
-    fields: dict[str, str], profiles: tuple[str, ...], marked: tuple[bool, ...]
-) -> CommandFields:
-    """`marked`: for each profile, whether its commands carry a mark against repeats."""
+def command_fields(fields: dict[str, str], deployment: Deployment) -> CommandFields:
     profile, call, mark = fields.get("op"), fields.get("call", ""), fields.get("dedupe")
-    if profile not in profiles:
+    if profile not in deployment.profiles:
         raise UnusableCommand("op names no profile")
     if not _CALL.match(call):
         raise UnusableCommand("call is no id")
     if mark is not None and not _HEADER_VALUE.match(mark):
         raise UnusableCommand("dedupe is no mark")
-    index = profiles.index(profile)
-    if marked[index] and mark is None:
+    index = deployment.profiles.index(profile)
+    if deployment.started.profiles[index].effect is Effect.UNIQUED and mark is None:
         raise UnusableCommand("dedupe is missing")
     ttl, work = _number(fields, "ttl"), _number(fields, "work")
     if ttl is None:
--- a/lotusstream/protocol/http.py
+++ b/lotusstream/protocol/http.py
@@ -4,7 +4,6 @@
 
 import re
 from dataclasses import dataclass
-from enum import Enum
 
 import httptools
 
@@ -101,17 +100,9 @@
     return headers
 
 
-class News(Enum):
-    RUNNING = "running"
-    DONE = "done"
-    FULL = "full"
-    OVER = "over"
-    ERROR = "error"
-
-
 @dataclass(frozen=True, slots=True)
 class QueryNews:
-    news: News
+    outcome: api.Outcome | None  # None: not yet over
     note: api.Note | None = None
     amount: float = 0.0
     pages: int = 0
@@ -147,19 +138,19 @@
         case 200 if _SMALL.match(pages := answer.headers.get("result-pages", "")) and int(pages) > 0:
             work = _decimal(answer, "query-cost")
             return QueryNews(
-                News.DONE,
+                api.Outcome.ANSWERED,
                 pages=int(pages),
                 work=int(work * MS) if work else None,
                 memory_mb=_decimal(answer, "query-need"),
             )
         case 202:
             note, amount = _note(answer)
-            return QueryNews(News.RUNNING, note, amount)
+            return QueryNews(None, note, amount)
         case 503 if unrun:
-            return QueryNews(News.FULL)
+            return QueryNews(api.Outcome.FULL)
         case 504 if unrun:
-            return QueryNews(News.OVER)
-    return QueryNews(News.ERROR)
+            return QueryNews(api.Outcome.MOOT)
+    return QueryNews(api.Outcome.ERROR)
 
 
 def page_rows(answer: Answer, number: int) -> bytes | None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -265,10 +265,10 @@
 ) -> None:
     asked, up, get = asyncio.Event(), asyncio.Event(), Pool.get
 
-    async def slow(pool: Pool, now: int) -> Connection:
+    async def slow(pool: Pool) -> Connection:
         asked.set()
         await up.wait()
-        return await get(pool, now)
+        return await get(pool)
 
     monkeypatch.setattr(Pool, "get", slow)
     engine.actor.post(start_send())
