SIGHUP follows another board; spoilt or doubled answers of engines are asked for again

Causes: cli.py had no handler for SIGHUP, and the list's actor knew its board from construction on. In protocol/http.py on_message_complete took a 1xx head for the answer (log: 'page lost ... status 102'); the connection went back to the pool and the answer proper was read by the next call. A second copy in the same read was appended to the first's body. Ruled out: foreign connections (each pool has one address), pages out of order (numbers are checked).

Now a reload posts the new address to the list, whose poll is a task of its own and is dropped at once; numbers go on. What can't be taken is told in one line and counted, nothing of it is taken. Interim answers are passed over, what comes behind an answer is never used, and neither is that connection again. Bytes behind an answer that begin no other leave its length in doubt: it is asked for again, as are answers and pages that can't be used, since the query has run and its answer can be had again. Guards against any spoiling on the way. Could harm where an engine speaks nothing but nonsense: its send ends 2 s later than before.

--- a/lotusstream/cli.py
+++ b/lotusstream/cli.py
@@ -31,12 +31,22 @@
         raise UnusableConfiguration(f"configuration: {error}") from error
 
 
-async def run_gateway(configuration: Configuration) -> None:
-    """Until SIGTERM or SIGINT, then a planned stop. SIGUSR1 prints the counters."""
-    server = GatewayServer(configuration)
+async def run_gateway(path: str | None) -> None:
+    """Until SIGTERM or SIGINT, then a planned stop. SIGHUP reads the configuration again, SIGUSR1 prints
+    the counters."""
+    server = GatewayServer(load(path))
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
+
+    def reload() -> None:
+        try:
+            server.reload(load(path))
+        except UnusableConfiguration as error:  # what was in force stays
+            server.supervisor.counters.add("reloads refused")
+            server.supervisor.log.say("reload", str(error))
+
     for number in (signal.SIGTERM, signal.SIGINT):  # before anything is taken: no signal finds none of these
         loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     loop.add_signal_handler(signal.SIGUSR1, server.print_counters)
     await server.start()
     await stop.wait()
@@ -46,9 +56,8 @@
 
 
 def serve(arguments: argparse.Namespace) -> int:
-    configuration = load(arguments.config)
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run_gateway(configuration))
+        runner.run(run_gateway(arguments.config))
     return 0
 
 
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -30,8 +30,8 @@
     """A call went out, at least in part, and no whole answer came back."""
 
 
-class CallGarbled(CallBroken):
-    """What came back is no answer: asking again would bring no other."""
+class CallSilent(CallBroken):
+    """Nothing came in time: it may have come whole and be worked on."""
 
 
 class SocketBudget:
@@ -65,7 +65,7 @@
 
     def __init__(self, sock: socket.socket, budget: SocketBudget, longest_body: int) -> None:
         self._sock, self._budget, self._longest = sock, budget, longest_body
-        self._buffer = Buffer(4096, http.LONGEST_HEAD + longest_body)
+        self._buffer = Buffer(8192, http.LONGEST_HEAD + longest_body)  # an engine's answer in one read
         self._closed = False
         self.idle_since = 0
 
@@ -116,9 +116,9 @@
                     data = self._buffer.data()
                     self._buffer.use(len(data))
                     reader.feed(data)
-        except (http.BrokenAnswer, BufferFull) as error:
-            raise CallGarbled(repr(error)) from error
-        except OSError as error:  # a time-out is one too
+        except TimeoutError as error:
+            raise CallSilent(repr(error)) from error
+        except (OSError, http.BrokenAnswer, BufferFull) as error:
             raise CallBroken(repr(error)) from error
         return reader.answer
 
@@ -143,7 +143,7 @@
         clock: Clock,
     ) -> None:
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
-        self._clock = clock
+        self.host, self._clock = f"{endpoint[0]}:{endpoint[1]}", clock
         self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
         self._idle: dict[Connection, None] = {}
         self._closed = False
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from typing import TypeVar
 
 from lotusstream import interface as api
 from lotusstream.interface import Outcome
@@ -13,7 +15,7 @@
 from lotusstream.net.connection import (
     US,
     CallBroken,
-    CallGarbled,
+    CallSilent,
     CannotConnect,
     Connection,
     Endpoint,
@@ -24,6 +26,8 @@
 )
 from lotusstream.protocol import http
 
+T = TypeVar("T")
+
 
 @dataclass(frozen=True, slots=True)
 class StartSend:
@@ -101,7 +105,6 @@
     ) -> None:
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
-        self._host = f"{endpoint[0]}:{endpoint[1]}"
         self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES, clock)
         self._clock, self._report = clock, report
         self._running: dict[tuple[int, int], Running] = {}
@@ -164,34 +167,39 @@
         try:
             left = start.ends_at - self._clock.now()
             headers = http.start_headers(start.call, start.profile, left, start.mark, running.priority)
-            request = http.request("POST", "/x", self._host, headers, start.statement)
+            request = http.request("POST", "/x", self._pool.host, headers, start.statement)
         except Exception:
             connection.close()
             raise
         running.posted = True
         self.supervisor.counters.add("sends posted")
-        news_call = http.request("GET", f"/x/{start.call}/0", self._host, {})
+        news_call = http.request("GET", f"/x/{start.call}/0", self._pool.host, {})
         while True:
-            answer = await self._ask(running, connection, request, news_call)
-            if isinstance(answer, Outcome):
-                return self._end(running, answer)
-            news = http.query_news(answer)
+            news = await self._ask(running, connection, request, news_call, http.query_news)
+            if isinstance(news, Outcome):
+                return self._end(running, news)
             if running.ended or news.outcome is not None:
                 break
             if news.note is not None:
                 self._report(api.Noted(start.command, start.number, self.engine, news.note, news.amount))
             connection, request = None, news_call
         if news.outcome is Outcome.ANSWERED and not running.ended:
-            return await self._collect(running, answer, news)
+            return await self._collect(running, news)
         return self._end(running, news.outcome or Outcome.ERROR)
 
     async def _ask(
-        self, running: Running, connection: Connection | None, request: bytes, again: bytes
-    ) -> http.Answer | Outcome:
-        """The answer; asked for again on a new connection where one breaks or is silent, at once and then
-        with pauses. An outcome where none will come: the engine's process has ended, and what it ran with
-        it, or it speaks no sense."""
-        tries, began = 0, 0
+        self,
+        running: Running,
+        connection: Connection | None,
+        request: bytes,
+        again: bytes,
+        read: Callable[[http.Answer], T | None],
+    ) -> T | Outcome:
+        """What `read` makes of the answer. Asked for again on a new connection where one breaks, is silent or
+        spoilt, at once and then with pauses. An outcome where none will come: the engine says so, its process
+        has ended and what it ran with it, or nothing but broken calls in the time after which it forgets a
+        query. Silence is left to the module."""
+        tries, began, usable = 0, 0, self._clock.now()
         while not running.ended:
             pause = began + self._pool.connect_timeout - self._clock.now()
             if tries > 1 and pause > 0:
@@ -199,7 +207,13 @@
             began = self._clock.now()
             try:
                 connection = connection or await self._pool.get(fresh=tries > 0)
-                return await self._pool.call(connection, request, http.PATIENCE)
+                answer = await self._pool.call(connection, request, http.PATIENCE)
+                if (found := read(answer)) is not None:
+                    return found
+                if answer.status == http.ERROR:
+                    return Outcome.ERROR
+                self.supervisor.counters.add("answers spoilt")
+                self.supervisor.log.say("answer spoilt", f"{self.name}: status {answer.status}")
             except Refused:
                 return Outcome.RESET
             except CannotConnect:
@@ -207,24 +221,26 @@
             except CallBroken as error:
                 self.supervisor.counters.add("calls broken")
                 self.supervisor.log.say("call broken", f"{self.name}: {error}")
-                if isinstance(error, CallGarbled):
-                    return Outcome.ERROR
+                if isinstance(error, CallSilent):
+                    usable = self._clock.now()
+            if self._clock.now() - usable >= http.FORGOTTEN_AFTER and not running.ended:
+                self.supervisor.start(f"{self.name} delete", self._delete(running))
+                return Outcome.RESET
             tries, connection, request = tries + 1, None, again
         return Outcome.RESET
 
-    async def _collect(self, running: Running, first: http.Answer, news: http.QueryNews) -> None:
+    async def _collect(self, running: Running, news: http.QueryNews) -> None:
         """Answered means all pages: a page that is lost is an error of the send, which has run."""
-        rows = bytearray()
-        for number in range(news.pages):
-            request = http.request("GET", f"/x/{running.start.call}/{number}", self._host, {})
-            answer = await self._ask(running, None, request, request) if number else first
-            if isinstance(answer, Outcome):
-                return self._end(running, answer)
-            page = http.page_rows(answer, number)
-            if page is None or len(rows) + len(page) > http.RESULT_BYTES:
+        rows = bytearray(news.rows)
+        for number in range(1, news.pages):
+            request = http.request("GET", f"/x/{running.start.call}/{number}", self._pool.host, {})
+            read = partial(http.page_rows, number=number)
+            page = await self._ask(running, None, request, request, read)
+            if isinstance(page, Outcome):
                 self.supervisor.counters.add("pages lost")
-                where = f"{self.name}: {number} of {news.pages}, status {answer.status}"
-                self.supervisor.log.say("page lost", where)
+                self.supervisor.log.say("page lost", f"{self.name}: {number} of {news.pages}, {page.name}")
+                return self._end(running, page)
+            if len(rows) + len(page) > http.RESULT_BYTES:
                 return self._end(running, Outcome.ERROR)
             rows += page
         return self._end(running, Outcome.ANSWERED, news, bytes(rows))
@@ -262,13 +278,13 @@
 
     async def _delete(self, running: Running) -> None:
         try:
-            await self._tell(http.request("DELETE", f"/x/{running.start.call}", self._host, {}))
+            await self._tell(http.request("DELETE", f"/x/{running.start.call}", self._pool.host, {}))
         finally:
             self._end(running, Outcome.CANCELLED)
 
     async def _set_priority(self, running: Running) -> None:
         body = str(running.priority).encode()
-        await self._tell(http.request("PUT", f"/x/{running.start.call}", self._host, {}, body))
+        await self._tell(http.request("PUT", f"/x/{running.start.call}", self._pool.host, {}, body))
 
     async def _tell(self, request: bytes) -> None:
         try:
--- a/lotusstream/net/engine_list.py
+++ b/lotusstream/net/engine_list.py
@@ -1,9 +1,10 @@
-"""Follows the notice board."""
+"""Follows the notice board, at whatever address the configuration in force names."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from lotusstream.deployment import Deployment
 from lotusstream.net.actor import Actor, Supervisor
@@ -15,16 +16,27 @@
 LINGER = http.TOLD_AFTER // 4  # a poll that falls silent is made anew well before its news counts as told
 
 
-class PollNow:
-    """Ask the board for what is new."""
+@dataclass(frozen=True, slots=True)
+class Follow:
+    """The board is found there from now on."""
 
+    endpoint: Endpoint
 
-class EngineList(Actor[notices.Notices | PollNow]):
-    """Its mailbox takes what is known at the start, then one poll after another."""
+
+@dataclass(frozen=True, slots=True)
+class Polled:
+    """What a poll of that board brought; None where it failed."""
+
+    board: Pool
+    told: notices.Notices | None
+
+
+class EngineList(Actor[notices.Notices | Follow | Polled]):
+    """Its mailbox takes what is known at the start, where to ask, and what each poll brought. A poll is a
+    task of its own, so that another board is asked at once."""
 
     def __init__(
         self,
-        endpoint: Endpoint,
         deployment: Deployment,
         clock: Clock,
         report: Callable[[notices.Notice], None],
@@ -32,23 +44,32 @@
     ) -> None:
         super().__init__("engine list", supervisor)
         self._deployment, self._clock, self._report = deployment, clock, report
-        self._host = f"{endpoint[0]}:{endpoint[1]}"
-        budget = SocketBudget(8)
-        connect, idle = deployment.connect_timeout, deployment.idle_timeout
-        self._pool = Pool(endpoint, budget, connect, idle, LONGEST_NEWS, clock)
+        self._budget = SocketBudget(8)
+        self._pool: Pool | None = None
+        self._polling: asyncio.Task[None] | None = None
         self._last = 0
 
-    async def receive(self, message: notices.Notices | PollNow) -> None:
-        if isinstance(message, notices.Notices):
-            self._apply(message)
-            return
-        began = self._clock.now()
-        try:
-            if not await self._poll():
-                pause = began + self._deployment.connect_timeout - self._clock.now()
-                await asyncio.sleep(max(0, pause) / US)
-        finally:
-            self.post(message)
+    async def receive(self, message: notices.Notices | Follow | Polled) -> None:
+        match message:
+            case notices.Notices():
+                self._apply(message)
+            case Follow(endpoint):
+                if self._polling is not None:
+                    self._polling.cancel()
+                if self._pool is not None:
+                    self._pool.close()
+                connect, idle = self._deployment.connect_timeout, self._deployment.idle_timeout
+                self._pool = Pool(endpoint, self._budget, connect, idle, LONGEST_NEWS, self._clock)
+                self._ask(self._pool)
+            case Polled(board, told) if board is self._pool:
+                try:
+                    if told is not None:
+                        self._apply(told)
+                finally:
+                    self._ask(board)
+
+    def _ask(self, board: Pool) -> None:
+        self._polling = self.supervisor.start(f"{self.name} poll", self._poll(board, self._last))
 
     def _apply(self, told: notices.Notices) -> None:
         """Events by their numbers. After a gap, or where the numbers have begun anew, all are asked for."""
@@ -68,18 +89,23 @@
             self._last = notice.rev
             self._report(notice)
 
-    async def _poll(self) -> bool:
-        target = f"/board/poll?watch={self._last}&linger={LINGER // http.MS}"
-        request = http.request("GET", target, self._host, {})
+    async def _poll(self, board: Pool, last: int) -> None:
+        """One poll, and after one that failed a pause before the next."""
+        began, told = self._clock.now(), None
+        request = http.request("GET", f"/board/poll?watch={last}&linger={LINGER // http.MS}", board.host, {})
         try:
-            answer = await self._pool.call(await self._pool.get(), request, LINGER + http.PATIENCE)
+            answer = await board.call(await board.get(), request, LINGER + http.PATIENCE)
             if answer.status != 200:
                 raise CallBroken(f"status {answer.status}")
-            self._apply(notices.parse_notices(answer.body, self._deployment))
+            told = notices.parse_notices(answer.body, self._deployment)
+            self.supervisor.counters.add("list polls")
         except (CannotConnect, CallBroken, notices.UnreadableNotices) as error:
-            self._pool.clear()
+            board.clear()
             self.supervisor.counters.add("list polls failed")
             self.supervisor.log.say("list", f"poll failed: {error!r}")
-            return False
-        self.supervisor.counters.add("list polls")
-        return True
+        except Exception as error:
+            self.supervisor.failed(self.name, error)
+        if told is None:
+            pause = began + self._deployment.connect_timeout - self._clock.now()
+            await asyncio.sleep(max(0, pause) / US)
+        self.post(Polled(board, told))
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -7,7 +7,7 @@
 import json
 import socket
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from lotusstream import interface as api
@@ -17,7 +17,7 @@
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider
-from lotusstream.net.engine_list import EngineList, PollNow
+from lotusstream.net.engine_list import EngineList, Follow
 from lotusstream.protocol import notices
 
 MS = 1000
@@ -78,9 +78,7 @@
         self._budget = SocketBudget(most - self._most_clients - spare)
         self._clients, self._unread = 0, Unread(memory // 8)
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor)
-        self._list = EngineList(
-            configuration.board, deployment, self._clock, self._decider.post, self.supervisor
-        )
+        self._list = EngineList(deployment, self._clock, self._decider.post, self.supervisor)
         self._listener: socket.socket | None = None
         self._stopping = False
 
@@ -105,10 +103,24 @@
         self._decider.start()
         self._list.start()
         self._list.post(self._configuration.known)
-        self._list.post(PollNow())
+        self._list.post(Follow(self._configuration.board))
         self.supervisor.keep("accept", lambda: self._accept(listener))
         self.supervisor.keep("watch", self._watch)
 
+    def reload(self, new: Configuration) -> None:
+        """Takes another configuration while running, or nothing of one that changes more than the board.
+        Seed and known events are those of a start and count for nothing here."""
+        now = self._configuration
+        started = replace(new.deployment.started, seed=now.deployment.started.seed)
+        deployment = replace(new.deployment, started=started)
+        if replace(new, board=now.board, known=now.known, deployment=deployment) != now:
+            raise UnusableConfiguration("configuration: only the board can change while running")
+        self.supervisor.counters.add("reloads")
+        if new.board != now.board:
+            self._configuration = replace(now, board=new.board)
+            self.supervisor.log.say("reload", f"board at {new.board[0]}:{new.board[1]}")
+            self._list.post(Follow(new.board))
+
     def _good(self) -> bool:
         return self._decider.listed and not self._stopping
 
--- a/lotusstream/protocol/http.py
+++ b/lotusstream/protocol/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import httptools
 
@@ -15,7 +15,8 @@
 MS = 1000
 NEWS_WAIT = 250 * MS  # how long an engine keeps a call that asks for news
 FORGOTTEN_AFTER = 2000 * MS  # a query that has not been asked for
-PATIENCE = FORGOTTEN_AFTER // 2  # with a call, so that another can still come in time
+PATIENCE = FORGOTTEN_AFTER // 4  # with a call, so that others can still come in time
+ERROR = 500  # to any call: it may have run, or is known there no longer
 BOARD_WAIT = 5000 * MS  # the longest that the board keeps a call
 TOLD_AFTER = 7000 * MS  # what is on the board counts as told
 
@@ -33,10 +34,12 @@
     headers: dict[str, str]
     body: bytes
     reusable: bool  # the connection may carry another call
+    overrun: bool = False  # what came behind it is no other answer: its own length may be wrong
 
 
 class AnswerReader:
-    """Reads one answer, fed with bytes as they come."""
+    """Reads one answer, fed with bytes as they come. Interim answers (1xx) before it are passed over; of
+    what comes behind it nothing is used, and neither is the connection after any of both."""
 
     def __init__(self, longest_body: int) -> None:
         self._longest = longest_body
@@ -45,40 +48,50 @@
         self._body = bytearray()
         self._head = 0
         self._in_head = True
+        self._odd = False
         self.answer: Answer | None = None
 
     def feed(self, data: memoryview) -> None:
         """Raises BrokenAnswer; sets `answer` once it is whole."""
-        if self.answer is not None:
-            raise BrokenAnswer("bytes after the answer")
         if self._in_head:
             self._head += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            raise BrokenAnswer(str(error)) from error
+            if self.answer is None:
+                raise BrokenAnswer(str(error)) from error
+            self.answer = replace(self.answer, reusable=False, overrun=True)
+        if self.answer is not None:
+            return
         if self._in_head and self._head > LONGEST_HEAD:
             raise BrokenAnswer("an endless head")
         if len(self._body) > self._longest:
             raise BrokenAnswer("a body longer than any may be")
 
+    def on_message_begin(self) -> None:
+        self._headers = {}
+        if self.answer is not None:
+            self.answer = replace(self.answer, reusable=False)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        self._in_head = False
+        self._in_head = self._parser.get_status_code() < 200
 
     def on_body(self, data: bytes) -> None:
-        if len(self._body) <= self._longest:
+        if self.answer is None and len(self._body) <= self._longest:
             self._body += data
 
     def on_message_complete(self) -> None:
-        self.answer = Answer(
-            self._parser.get_status_code(),
-            self._headers,
-            bytes(self._body),
-            self._parser.should_keep_alive(),
-        )
+        status = self._parser.get_status_code()
+        if self.answer is not None:
+            return
+        if status < 200:
+            self._odd = True
+            return
+        reusable = self._parser.should_keep_alive() and not self._odd
+        self.answer = Answer(status, self._headers, bytes(self._body), reusable)
 
 
 def request(method: str, target: str, host: str, headers: dict[str, str], body: bytes = b"") -> bytes:
@@ -106,6 +119,7 @@
     note: api.Note | None = None
     amount: float = 0.0
     pages: int = 0
+    rows: bytes = b""  # page 0
     work: int | None = None
     memory_mb: float | None = None
 
@@ -131,15 +145,18 @@
     return None, 0.0
 
 
-def query_news(answer: Answer) -> QueryNews:
-    """What the answer to POST /x or GET /x/ID/0 tells; an answer of no known form may have run."""
+def query_news(answer: Answer) -> QueryNews | None:
+    """What the answer to POST /x or GET /x/ID/0 tells; None where it is spoilt or of no known form."""
     unrun = answer.headers.get("x-unrun") == "1"
     match answer.status:
         case 200 if _SMALL.match(pages := answer.headers.get("result-pages", "")) and int(pages) > 0:
-            work = _decimal(answer, "query-cost")
+            rows, work = page_rows(answer, 0), _decimal(answer, "query-cost")
+            if rows is None:
+                return None
             return QueryNews(
                 api.Outcome.ANSWERED,
                 pages=int(pages),
+                rows=rows,
                 work=int(work * MS) if work else None,
                 memory_mb=_decimal(answer, "query-need"),
             )
@@ -150,15 +167,14 @@
             return QueryNews(api.Outcome.FULL)
         case 504 if unrun:
             return QueryNews(api.Outcome.MOOT)
-    return QueryNews(api.Outcome.ERROR)
+    return None
 
 
 def page_rows(answer: Answer, number: int) -> bytes | None:
     """The rows of page `number`, or None where it is not that page, whole."""
     body = answer.body
     numbered = number == 0 or answer.headers.get("result-page") == str(number)
-    rows_whole = not body or body.endswith(b"\n")
-    rows = body.count(b"\n")
-    if answer.status != 200 or not numbered or not rows_whole or len(body) > PAGE_BYTES:
+    if answer.status != 200 or answer.overrun or not numbered or len(body) > PAGE_BYTES:
         return None
-    return body if body.count(b"\t") == 2 * rows else None
+    *rows, rest = body.split(b"\n")
+    return body if not rest and all(row.count(b"\t") == 2 for row in rows) else None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -179,6 +179,7 @@
         self.uid, self.pages = uid, [b"a\tb\tc\n"]
         self.acts = "answers"
         self.raw = b""  # said in place of any answer, where acts is "raw"
+        self.once: dict[int, bytes] = {}  # said once in place of the answer that holds this page
         self.held = set[str]()  # calls that stay open whatever it does
 
     def posts(self, call: str | None = None) -> list[Call]:
@@ -189,6 +190,8 @@
         if call.method in ("DELETE", "PUT"):
             return http_answer(204)
         number = 0 if call.method == "POST" else int(call.path.rsplit("/", 1)[1])
+        if number in self.once:
+            return self.once.pop(number) or None
         if number:
             if self.acts == "loses pages":
                 return http_answer(500)
@@ -376,12 +379,16 @@
         await self.run()
         return await self.client()
 
-    async def run(self, port: int = 0) -> None:
-        told = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964",
+    def configure(self, port: int = 0, **changes: object) -> Path:
+        told: dict[str, object] = {"name": "n0", "listen": f"127.0.0.1:{port}", "seed": "8c1f30d27a5be964",
                 "limits": self.limits, "board": f"127.0.0.1:{self.board.port}",
                 "known": self.board.known(), "settings": settings()}  # fmt: skip
         path = self.folder / "config.json"
-        path.write_text(json.dumps(told))
+        path.write_text(json.dumps(told | changes))
+        return path
+
+    async def run(self, port: int = 0) -> None:
+        path = self.configure(port)
         words = ("-m", "lotusstream", "serve", "--config", str(path))
         self.program = await asyncio.create_subprocess_exec(
             sys.executable, *words, stderr=asyncio.subprocess.PIPE
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 
 import pytest
-from conftest import LIMIT, Failed, StandInClient, StandInEngine, World, http_answer
+from conftest import LIMIT, Failed, StandInBoard, StandInClient, StandInEngine, World, http_answer
 
 
 async def failure(client: StandInClient, seqid: int) -> Failed:
@@ -160,6 +161,48 @@
     assert len(world.engines[1].posts()) == 1
 
 
+async def test_a_reload_follows_the_new_board_at_once_and_goes_on_with_the_numbers(world: World) -> None:
+    client = await world.start("s-2")
+    world.engines[0].acts = world.engines[1].acts = "holds"
+    held = client.ask()
+    first = await world.chosen()
+    await world.board.calls.until(lambda call: "watch=1&" in call.path)
+    other = StandInBoard()
+    await other.start()
+    other.notices = list(world.board.notices)
+    world.configure(board=f"127.0.0.1:{other.port}", seed="77")
+    assert world.program is not None
+    began = asyncio.get_running_loop().time()
+    for _ in range(3):
+        world.program.send_signal(signal.SIGHUP)
+    await other.calls.until(lambda call: "watch=1&" in call.path)
+    assert asyncio.get_running_loop().time() - began < 1.75  # sooner than the old board's wait ends
+    other.tell(first.entry("draining"))
+    await other.calls.until(lambda call: "watch=2&" in call.path)
+    asked, second = len(first.posts()), next(engine for engine in world.engines if engine is not first)
+    first.acts = second.acts = "answers"
+    assert (await client.answer(held))[1] and (await client.answer(client.ask()))[1]
+    assert len(first.posts()) == asked and len(second.posts()) == 1
+    other.die()
+
+
+@pytest.mark.parametrize("change", [{"listen": "127.0.0.1:1"}, {"settings": {}}, None], ids=str)
+async def test_a_configuration_that_cannot_be_taken_leaves_all_as_it_was(
+    world: World, change: dict[str, object] | None
+) -> None:
+    client = await world.start()
+    path = world.configure(board="127.0.0.1:9", **change or {})
+    if change is None:
+        path.write_text(path.read_text()[:-9])
+    assert world.program is not None
+    world.program.send_signal(signal.SIGHUP)
+    await world.log.until(lambda line: line.startswith("reload: configuration"))
+    await world.board.calls.until(lambda call: "watch=1&" in call.path, 2)
+    counters = await world.counters()
+    assert counters["reloads refused"] == 1 and "reloads" not in counters
+    assert (await client.answer(client.ask()))[1]
+
+
 async def test_a_killed_gateway_starts_again_at_its_address(world: World) -> None:
     client = await world.start()
     world.engines[0].acts = "holds"
@@ -366,6 +409,39 @@
     assert (await client.answer(client.ask()))[1]
 
 
+GOOD = http_answer(200, b"1\t2\t3\n", Result_Pages=2, Query_Cost=80, Query_Need=100)
+PAGE = http_answer(200, b"4\t5\t6\n", Result_Page=1)
+EARLY = b"HTTP/1.1 102 Processing\r\nX-A: 1\r\n\r\n"
+
+
+@pytest.mark.parametrize(("number", "good"), [(0, GOOD), (1, PAGE)])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda good: EARLY * 2 + good,
+        lambda good: good + good,
+        lambda good: good + b"\x00noise",
+        lambda good: good[:-3],
+        lambda good: good.replace(b"Length: 6", b"Length: 3000000000") + b"x" * 100_000,
+        lambda good: good.replace(b"\t", b" "),
+        lambda good: good.replace(b"Length: 6", b"Length: 0"),
+        lambda good: http_answer(503),
+        lambda good: b"",
+    ],
+    ids=["early", "twice", "noise after", "cut", "3 GB", "columns", "short length", "503", "none"],
+)
+async def test_an_answer_that_came_spoilt_or_with_more_is_not_asked_of_another_send(
+    world: World, number: int, good: bytes, spoil: Callable[[bytes], bytes]
+) -> None:
+    client = await world.start()
+    engine = world.engines[0]
+    engine.pages = [b"1\t2\t3\n", b"4\t5\t6\n"]
+    engine.once = {number: spoil(good)}
+    for _ in range(3):  # what came beside one answer is not taken for that of the next
+        assert await client.answer(client.ask("booking")) == (b"1\t2\t3\n4\t5\t6\n", True)
+    assert len(engine.posts()) == 3
+
+
 @pytest.mark.parametrize(
     "raw",
     [
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,6 +26,7 @@
 from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, SendEnded, SetPriority, StartSend
 from lotusstream.policy import Gateway
 from lotusstream.protocol import front
+from lotusstream.protocol.http import Answer, AnswerReader
 from lotusstream.protocol.tables import table_group
 
 
@@ -65,6 +66,14 @@
     assert time.process_time() - began < 5
 
 
+def test_an_interim_answer_that_comes_by_itself_is_not_the_answer() -> None:
+    reader = AnswerReader(100)
+    reader.feed(memoryview(b"HTTP/1.1 102 Processing\r\nResult-Page: 1\r\n\r\n"))
+    assert reader.answer is None
+    reader.feed(memoryview(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"))
+    assert reader.answer == Answer(200, {"content-length": "1"}, b"a", reusable=False)
+
+
 def test_a_buffer_grows_to_its_limit_and_is_compacted_before() -> None:
     buffer = Buffer(4, 8)
     buffer.space()[:] = b"abcd"
