Client connections that ask nothing give way to those that ask, and close in time

Cause: gateway.py stopped accepting at its share of descriptors and nothing but a client's own close made room again; client.py set no time for a connection that says nothing or half a message. Ruled out: sends (1.0 a command, next to no failed connects), memory (18 of 64 MB), CPU (0.3 of a core).

One with an open command, an answer being written or unread bytes is never closed. Guards against any hoarding of descriptors; could cost a client a second connect whose message crosses the close. Full of open commands, a new connection is closed at once.

--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -14,6 +14,7 @@
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.buffer import Buffer, BufferFull
 from lotusstream.net.clock import Clock
+from lotusstream.net.connection import bytes_there
 from lotusstream.protocol import front
 from lotusstream.protocol.tables import table_group
 
@@ -78,6 +79,60 @@
         self.total -= self._of.pop(client, 0)
 
 
+class ClientShare:
+    """The descriptors that clients may hold. Guards those that ask against those that only hold on: a
+    connection without an open command is closed once it has been idle for as long as clients keep one, has
+    sent no whole message in time, or stands in the way of a new one; the silent first, then the longest
+    idle. Could harm a client whose message crosses the close: it is to send it again."""
+
+    def __init__(self, most: int, clock: Clock, supervisor: Supervisor) -> None:
+        self._most, self._clock, self._counters = most, clock, supervisor.counters
+        self._count = 0
+        # since when, the longest first: nothing whole has come yet, and nothing is open
+        self._silent, self._idle = dict[ClientConnection, int](), dict[ClientConnection, int]()
+
+    def enter(self, client: ClientConnection) -> bool:
+        if self._count >= self._most and not self._close_one():
+            self._counters.add("client connections without room")
+            return False
+        self._count += 1
+        self._silent[client] = self._clock.now()
+        self._counters.add("client connections")
+        self._counters.peak("client connections", self._count)
+        return True
+
+    def leave(self, client: ClientConnection) -> None:
+        self.works(client)
+        self._count -= 1
+
+    def works(self, client: ClientConnection) -> None:
+        self._silent.pop(client, None)
+        self._idle.pop(client, None)
+
+    def rests(self, client: ClientConnection) -> None:
+        self.works(client)
+        self._idle[client] = self._clock.now()
+
+    def look_after(self) -> None:
+        """Now and then: what has been silent or idle for too long."""
+        now = self._clock.now()
+        for waiting, most in ((self._silent, front.WORD_OWED * 2 // 3), (self._idle, front.IDLE_KEPT)):
+            for client, since in list(waiting.items()):
+                if now - since < most:
+                    break
+                self._close(client)
+
+    def _close_one(self) -> bool:
+        return any(self._close(client) for client in [*self._silent, *self._idle])
+
+    def _close(self, client: ClientConnection) -> bool:
+        if not client.dismiss():
+            return False
+        self.works(client)
+        self._counters.add("client connections closed as idle")
+        return True
+
+
 class ClientConnection(Actor[Reply]):
     def __init__(
         self,
@@ -87,12 +142,13 @@
         report: ClientReport,
         good: Callable[[], bool],
         unread: Unread,
+        share: ClientShare,
         supervisor: Supervisor,
     ) -> None:
         super().__init__("client", supervisor)
-        self._sock, self._deployment = sock, deployment
+        self._sock, self._deployment, self._share = sock, deployment, share
         self._clock, self._report, self._good, self._unread = clock, report, good, unread
-        self._cut_off = False
+        self._cut_off = self._writing = False
         self.open: dict[int, TakenCommand] = {}
 
     def post(self, message: Reply) -> None:
@@ -104,6 +160,16 @@
         self.supervisor.counters.add("client connections cut off")
         self._end()
 
+    def dismiss(self) -> bool:
+        """Closes it where nothing is open or being written, and no byte has come meanwhile."""
+        if self.open or self._writing or len(self.mailbox):
+            return False
+        with contextlib.suppress(OSError):
+            if bytes_there(self._sock):
+                return False
+        self._end()
+        return True
+
     def _end(self) -> None:
         """Nothing more is written, and the reader comes to its end."""
         self._cut_off = True
@@ -112,6 +178,9 @@
 
     async def serve(self) -> None:
         """Reads until the client leaves; its open commands leave with it."""
+        if not self._share.enter(self):
+            self._sock.close()
+            return
         self.start()
         buffer = Buffer(4096, front.FRAME.size + front.LONGEST_FRAME)
         loop = asyncio.get_running_loop()
@@ -125,6 +194,7 @@
                     frame = bytes(buffer.data()[front.FRAME.size : front.FRAME.size + length])
                     buffer.use(front.FRAME.size + length)
                     self._handle(frame, at)
+                    self._settle()
         except (front.BrokenFrame, BufferFull) as error:
             self.supervisor.counters.add("client connections broken")
             self.supervisor.log.say("client", str(error))
@@ -138,11 +208,22 @@
             self._unread.forget(self)
             await self.stop()
             self._sock.close()
+            self._share.leave(self)
+
+    def _settle(self) -> None:
+        """After each whole message and each answer."""
+        if self._cut_off:
+            return
+        if self.open:
+            self._share.works(self)
+        else:
+            self._share.rests(self)
 
     async def receive(self, message: Reply) -> None:
         if message.ends is not None and self.open.pop(message.ends.seqid, None) is None:
             self._unread.taken(self, len(message.frame))
             return  # given up a moment ago: no answer is owed
+        self._writing = True
         try:
             await asyncio.get_running_loop().sock_sendall(self._sock, message.frame)
             self._unread.taken(self, len(message.frame))
@@ -151,6 +232,9 @@
         except Exception:
             self._end()
             raise
+        finally:
+            self._writing = False
+            self._settle()
 
     def _handle(self, frame: bytes, at: int) -> None:
         try:
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -60,6 +60,14 @@
         self._idle.pop(connection, None)
 
 
+def bytes_there(sock: socket.socket) -> bool | None:
+    """Whether bytes wait to be read; None where nothing has come, False where the other side has closed."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return None
+
+
 class Connection:
     """One call at a time. After a broken call it is to be closed."""
 
@@ -95,12 +103,9 @@
     def still_open(self) -> bool:
         """Nothing has come while it was idle, no close either."""
         try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
+            return bytes_there(self._sock) is None
         except OSError:
             return False
-        return False
 
     async def call(self, request: bytes, patience: int) -> http.Answer:
         loop = asyncio.get_running_loop()
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -13,7 +13,7 @@
 from lotusstream import interface as api
 from lotusstream.deployment import Deployment, UnusableSettings, read_settings
 from lotusstream.net.actor import Supervisor
-from lotusstream.net.client import ClientConnection, Unread
+from lotusstream.net.client import ClientConnection, ClientShare, Unread
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider
@@ -74,9 +74,10 @@
         self.supervisor, self._clock = Supervisor(), Clock()
         most, memory, deployment = configuration.descriptors, configuration.memory, configuration.deployment
         spare = most // 32  # the program's own, and the board's
-        self._most_clients = most // 3 + spare
-        self._budget = SocketBudget(most - self._most_clients - spare)
-        self._clients, self._unread = 0, Unread(memory // 8)
+        most_clients = most // 3 + spare
+        self._budget = SocketBudget(most - most_clients - spare)
+        self._share = ClientShare(most_clients, self._clock, self.supervisor)
+        self._unread = Unread(memory // 8)
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor)
         self._list = EngineList(deployment, self._clock, self._decider.post, self.supervisor)
         self._listener: socket.socket | None = None
@@ -127,8 +128,6 @@
     async def _accept(self, listener: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            while self._clients >= self._most_clients:
-                await asyncio.sleep(PAUSE)
             try:
                 sock, _ = await loop.sock_accept(listener)
             except OSError as error:  # out of descriptors, or the peer has left already
@@ -139,27 +138,22 @@
             self.supervisor.start("client", self._serve(sock))
 
     async def _serve(self, sock: socket.socket) -> None:
-        self._clients += 1
-        self.supervisor.counters.add("client connections")
-        self.supervisor.counters.peak("client connections", self._clients)
-        try:
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = ClientConnection(
-                sock,
-                self._configuration.deployment,
-                self._clock,
-                self._decider.post,
-                self._good,
-                self._unread,
-                self.supervisor,
-            )
-            await client.serve()
-        finally:
-            self._clients -= 1
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = ClientConnection(
+            sock,
+            self._configuration.deployment,
+            self._clock,
+            self._decider.post,
+            self._good,
+            self._unread,
+            self._share,
+            self.supervisor,
+        )
+        await client.serve()
 
     async def _watch(self) -> None:
-        """The loop's longest stall, and idle connections."""
+        """The loop's longest stall, and what is overdue or idle."""
         pause = 50 * MS
         while True:
             before = self._clock.now()
@@ -167,6 +161,7 @@
             self.supervisor.counters.peak("stall of the loop, us", self._clock.now() - before - pause)
             self.supervisor.counters.peak("connections to engines", self._budget.used)
             self._decider.look_after()
+            self._share.look_after()
 
     async def drain(self) -> None:
         """A planned stop: takes what still comes, and returns once all is answered or time is up."""
--- a/lotusstream/protocol/front.py
+++ b/lotusstream/protocol/front.py
@@ -20,6 +20,8 @@
 MOST_FIELDS = 256
 MOST_OPEN = 32  # on one connection
 MS = 1000
+IDLE_KEPT = 4000 * MS  # clients close what has been idle for that long
+WORD_OWED = 3000 * MS  # from the connect, to whoever has sent nothing that can be used
 
 _CALL = re.compile(r"[0-9a-f]{16}\Z")
 _HEADER_VALUE = re.compile(r"[\x21-\x7e]{1,256}\Z")
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -140,11 +140,12 @@
 
 async def test_a_poll_that_falls_silent_is_made_anew_before_its_news_counts_as_told(world: World) -> None:
     world.board.raw = b""
-    client = await world.start("s-2")
+    await world.start("s-2")
     began = asyncio.get_running_loop().time()
     world.board.tell(world.engines[0].entry("draining"))
     await world.board.calls.until(lambda call: "watch=2&" in call.path)
     assert asyncio.get_running_loop().time() - began < 7
+    client = await world.client()
     await client.answer(client.ask())
     assert len(world.engines[1].posts()) == 1
 
@@ -229,6 +230,50 @@
     assert seqid not in client.answers
 
 
+async def test_connections_that_only_hold_on_give_way_to_those_that_ask(world: World) -> None:
+    world.limits["sockets"] = 48  # 17 of them for clients
+    client = await world.start()
+    engine = world.engines[0]
+    engine.held = {"00000000000000aa"}
+    asked = client.ask(call="00000000000000aa")
+    await engine.calls.until(lambda call: call.method == "POST")
+    for _ in range(40):
+        await world.client()  # says nothing
+        holder = await world.client()
+        await holder.answer(holder.ask())
+    engine.held.clear()
+    assert (await client.answer(asked))[1]
+    counters = await world.counters()
+    assert counters["answered lookup"] == 41 and counters["client connections closed as idle"] >= 81 - 17
+
+
+async def test_no_room_is_made_by_connections_with_an_open_command(world: World) -> None:
+    world.limits["sockets"] = 48
+    world.engines[0].acts = "holds"
+    await world.start()
+    for _ in range(16):
+        (await world.client()).ask()
+    await world.engines[0].calls.until(lambda call: call.method == "POST", 16)
+    busy = world.clients[1:]
+    world.clients[0].ask()
+    await world.engines[0].calls.until(lambda call: call.method == "POST", 17)
+    late = await world.client()
+    await asyncio.wait_for(late.closed.wait(), LIMIT)
+    assert not any(client.closed.is_set() for client in busy)
+
+
+async def test_a_connection_without_a_whole_message_is_closed_in_time(world: World) -> None:
+    client = await world.start()
+    world.engines[0].acts = "holds"
+    client.ask(ttl="20000")
+    began = asyncio.get_running_loop().time()
+    for start in (b"", b"\0\0", b"\0\0\1\0" + b"\x80\1\0\1" * 9):
+        (await world.client()).writer.write(start)
+    for silent in world.clients[1:]:
+        await asyncio.wait_for(silent.closed.wait(), LIMIT)
+    assert asyncio.get_running_loop().time() - began < 3 and await client.probe()
+
+
 async def test_a_client_that_leaves_leaves_nothing_running(world: World) -> None:
     client = await world.start()
     world.engines[0].acts = "holds"
