An engine's error is its word: counts once a command, cancels nothing, chills nothing

A trace of each error: 446 on one gateway in 25 s; 151 were commands of bad clients that every engine answers with 500, up to five sends each, three in a row on one engine; nearly all the others came 5 to 28 at once and were the gateway's own cancels.

Cause: policy.py _judge counted each of these errors against the engine, _set_aside made _reconsider cancel all that ran there, and the first answer after it began a new warm-up of 15 s at a fraction of the engine's part. Ruled out: restarts of engines (no refused connection), a mass loss by the engine (no two gateways at the same time and engine).

An error proves that the engine lives: a row of nothing but errors sets it aside for new sends, cancels nothing and is no restart. A command's second error counts against no engine, the second send goes to another engine where there is one, and after errors of two the command is given up at once. A 500 to what is asked after a broken call is a lost query: RESET. Guards against commands that none can use and against engines that err; could harm where two engines err for another's commands: these then get no third try.

--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -210,8 +210,8 @@
                 answer = await self._pool.call(connection, request, http.PATIENCE)
                 if (found := read(answer)) is not None:
                     return found
-                if answer.status == http.ERROR:
-                    return Outcome.ERROR
+                if answer.status == http.ERROR:  # after a break: it knows of no such query
+                    return Outcome.RESET if tries else Outcome.ERROR
                 self.supervisor.counters.add("answers spoilt")
                 self.supervisor.log.say("answer spoilt", f"{self.name}: status {answer.status}")
             except Refused:
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -178,8 +178,7 @@
         be = self.backends.get(event.engine)
         if be is None or (held := be.out.get(event.command << 8 | event.send)) is None:
             return
-        cmd, a_try = held
-        be.heard = self.now
+        (cmd, a_try), be.heard = held, self.now
         if event.note is Note.PROGRESS and event.amount > 0:
             age = self.now - a_try.at
             a_try.finish, a_try.told = a_try.at + age / min(1.0, event.amount), True
@@ -219,9 +218,9 @@
         if event.outcome is Outcome.ANSWERED:
             be.heard = self.now
             be.credit = min(CREDIT_MOST, be.credit + CREDIT_PER_ANSWER)
-            if be.failures >= FAILURES and a_try.at >= be.aside_at:  # may have restarted, unlisted
+            if be.aside_until and be.lost and a_try.at >= be.aside_at:  # may have restarted, unlisted
                 be.chill(self.now, self.now, self._chance())
-            be.failures, be.aside_until = 0, None
+            be.failures, be.aside_until, be.lost = 0, None, False
             work = event.work or event.latency * cmd.profile.threads * min(self.best, be.pace) / be.pace
             if not a_try.stalled:
                 self._learn_pace(be, cmd, event.latency, (event.work or cmd.work) / cmd.profile.threads)
@@ -229,7 +228,8 @@
                 self.usual[cmd.kind].learn(self.now, work, cmd.hint)
         elif event.outcome is Outcome.FULL:
             be.full_at = be.heard = self.now
-        elif not a_try.doomed and event.outcome is not Outcome.MOOT:
+        elif not a_try.doomed and event.outcome not in (Outcome.MOOT, Outcome.ERROR if cmd.erred else None):
+            be.lost = be.lost or event.outcome is not Outcome.ERROR  # an error is its word: it has not ended
             # a refused connection where nothing else was heard lately tells as much as several late answers
             refused = event.outcome is Outcome.CONNECT_FAILED and self.now - be.heard > self.shortest
             be.failures += FAILURES if refused else 1
@@ -238,7 +238,7 @@
 
     def _set_aside(self, be: Backend) -> None:
         """Longer with each further failure, and by chance: all gateways' trials are no surge of their own."""
-        be.failures = max(be.failures, FAILURES)
+        be.lost, be.failures = be.lost or be.failures < FAILURES, max(be.failures, FAILURES)
         span = self.shortest * min(4, be.failures - FAILURES + 1) * (0.5 + self._chance())
         be.aside_at, be.aside_until = self.now, self.now + int(span)
 
@@ -279,7 +279,8 @@
         self._forget(cmd)
 
     def _may_send_again(self, cmd: Command) -> bool:
-        if len(cmd.tries) >= self.allowed.sends or self.now >= cmd.ends_by:
+        # guards all engines against commands that none can use: an error of two is the command's own
+        if len(cmd.tries) >= self.allowed.sends or self.now >= cmd.ends_by or len(cmd.erred) > 1:
             return False
         if not (ran := cmd.ran) or cmd.profile.effect is Effect.REPLAYABLE:
             return True
@@ -293,9 +294,8 @@
         if not profile.open_to(entry) or (cmd.tries and (be.credit < 1 or not self._may_send_again(cmd))):
             return False
         if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
-            first = ran[0].be.entry
-            if (profile.scope is api.Scope.ZONE and first.zone != entry.zone) or (
-                    profile.scope is api.Scope.CELL and first.cell != entry.cell):  # fmt: skip
+            zone, cell = ran[0].be.entry.zone == entry.zone, ran[0].be.entry.cell == entry.cell
+            if not {api.Scope.ZONE: zone, api.Scope.CELL: cell}.get(profile.scope, True):
                 return False
         return not self._cold(be) or self._bears(be, cmd.weight)
 
@@ -397,9 +397,8 @@
         the group warm; then the home."""
         options = []
         homes = self._homes(cmd.group, cmd.profile) if self.share < 0.5 else []
-        for be in roomy:
-            if not self._fits(cmd.profile.threads, be) or not self._allowed_there(cmd, be):
-                continue
+        fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
+        for be in [be for be in fit if be not in cmd.erred] or fit:
             crowd = self.others + (be.threads + cmd.profile.threads) / be.cores
             crowd /= self.duties.cold_from if self._cold(be) else 1.0
             warm = be in homes if homes else cmd.group in be.warm
@@ -527,7 +526,7 @@
         left = max(a_try.finish - self.now, age / 4) if a_try.told else float(age)
         total = age + left if a_try.told else 0 if self.given.note_every else age
         late = self.now + left > max(cmd.due, self.now + 2 * fresh)
-        if be.aside_until is not None:
+        if be.aside_until is not None and be.lost:
             self._cancel(cmd, a_try)
         elif total > RUNAWAY * fresh * 2**cmd.overlong and late and not profile.loads and not a_try.stalled:
             cmd.overlong += 1
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -82,6 +82,11 @@
     def out(self) -> list[Try]:
         return [a_try for a_try in self.tries if a_try.outcome is None]
 
+    @property
+    def erred(self) -> set[Backend]:
+        """The engines that answered it with an error."""
+        return {a_try.be for a_try in self.tries if a_try.outcome is api.Outcome.ERROR}
+
     @property
     def ran(self) -> list[Try]:
         """The sends that may have run."""
@@ -103,6 +108,7 @@
         self.full_at: int | None = None
         self.heard, self.failures, self.aside_at = 0, 0, 0
         self.aside_until: int | None = None
+        self.lost = False  # some of the failures were no word of its own
         self.chill(None, 0, 0.0)
 
     def chill(self, since: int | None, told: int, phase: float) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -84,6 +84,18 @@
     assert len(engine.posts()) == 1
 
 
+async def test_a_query_that_its_engine_does_not_know_after_a_break_is_no_error_of_the_engine(
+    world: World,
+) -> None:
+    client = await world.start()
+    engine = world.engines[0]
+    engine.once, engine.pages = {0: b"garbage\r\n\r\n"}, [b"1\t2\t3\n"]
+    engine.acts = "fails"
+    assert (await failure(client, client.ask("booking"))).kind == "failed"
+    counters = await world.counters()
+    assert counters["sends reset"] == 1 and "sends error" not in counters
+
+
 async def test_a_silent_engine_costs_a_command_its_time_and_no_more(world: World) -> None:
     client = await world.start()
     world.engines[0].acts = "is silent"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -71,6 +71,38 @@
     assert len(host.sends(command)) == 2
 
 
+def test_a_command_that_two_engines_answer_with_an_error_is_given_up_at_once(host: Host) -> None:
+    command = host.take()
+    host.end(command, Outcome.ERROR)
+    assert [send.engine for send in host.sends(command)] != [host.sends(command)[0].engine] * 2
+    assert host.end(command, Outcome.ERROR)[-1] == api.Shed(command, 500 * MS)
+
+
+def test_commands_that_no_engine_can_use_set_none_aside(host: Host) -> None:
+    for _ in range(2):
+        for _ in range(2):  # each errs on two engines, and counts against the first alone
+            command = host.take()
+            host.end(command, Outcome.ERROR)
+            host.end(command, Outcome.ERROR)
+        host.end(host.take(), Outcome.ANSWERED)
+    assert all(be.aside_until is None for be in host.gateway.backends.values())
+
+
+def test_an_engine_that_errs_is_set_aside_but_goes_on_with_what_it_runs_and_is_not_cold() -> None:
+    host = Host()
+    host.engines(engine(1))
+    running, bad = host.take(), [host.take(profile=2, key=key) for key in (1, 2, 3)]
+    for command in bad:
+        host.end(command, Outcome.ERROR, 0)
+    held = host.take()
+    assert not host.sends(held)
+    host.pass_time(100 * MS)
+    assert not [action for action in host.log if isinstance(action, api.Cancel)]
+    host.end(running, Outcome.ANSWERED, 0)
+    be = host.gateway.ready[0]
+    assert host.sends(held) and not host.gateway._cold(be)
+
+
 def test_a_uniqued_command_stays_in_its_zone_and_window() -> None:
     host = Host()
     host.engines(engine(1), engine(2, zone=1))
