A reset after which the engine answers is no end of it, and a trial has its time

Causes: the module was not told what the socket knew, that the engine still answers; so three such resets in a row cancelled all that ran there and began a warm-up. And _reconsider cancelled a trial at its first look, after some 60 ms, because the engine was still set aside: a trial that took longer never brought it back. Ruled out: deaths (told only from 17 s on), the list (no change told before), the CPU (0.4 of a core).

Ended now says whether the engine was heard last. What is heard is not lost: it is set aside for new sends after three in a row as before, but nothing is cancelled and no warm-up begins. A trial runs until it is overdue; then the engine is set aside anew. Guards against broken connections of any cause; could harm where an engine restarts within a millisecond, unlisted: it would get its full part while cold.

--- a/lotusstream/drill/wire.py
+++ b/lotusstream/drill/wire.py
@@ -159,9 +159,9 @@
         work = (cost >> 12) * 1000 if cost else None
         memory = float((cost & 0xFFF) * 4) if cost else None
         report = self._report(count, tuple(values))
-        return api.Ended(
-            call, trial, engine, api.Outcome(outcome), latency, bool(over), work, memory, report
-        )
+        how = api.Outcome(outcome)
+        heard = how in api.ITS_OWN_WORD
+        return api.Ended(call, trial, engine, how, latency, bool(over), work, memory, report, heard)
 
     def _update_of(self, body: bytes) -> api.Event:
         _, call, amount, kind, trial, engine = UPDATE_OF.unpack_from(body)
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -43,6 +43,7 @@
 
 
 PROVES_NOT_RUN = (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
+ITS_OWN_WORD = (Outcome.ANSWERED, Outcome.FULL, Outcome.ERROR)  # the engine said it itself
 MAY_STILL_RUN = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
 
 
@@ -177,7 +178,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Ended:
-    """A send has its outcome. `over`: the command needs no further answer."""
+    """A send has its outcome. `over`: the command needs no further answer. `heard`: the last thing known of
+    the engine here is an answer, of whatever kind; so a reset was one of a connection."""
 
     command: int
     send: int
@@ -188,6 +190,7 @@
     work: int | None
     memory_mb: float | None
     report: Report | None
+    heard: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -181,6 +181,7 @@
             work=told.work,
             memory_mb=told.memory_mb,
             report=None,
+            heard=told.heard,
         )
 
     def _list(self, notice: notices.Notice) -> api.Event:
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -73,6 +73,7 @@
     work: int | None = None
     memory_mb: float | None = None
     rows: bytes | None = None
+    heard: bool = False
 
 
 EngineMessage = StartSend | CancelSend | SetPriority | ListedAs
@@ -87,6 +88,7 @@
         self.priority = start.priority
         self.posted = False  # its first byte may have gone out
         self.cancelled = False
+        self.heard = False  # the last call for it brought an answer
         self.ended = False  # its outcome has been told
         self.task: asyncio.Task[None] | None = None
 
@@ -208,17 +210,20 @@
             try:
                 connection = connection or await self._pool.get(fresh=tries > 0)
                 answer = await self._pool.call(connection, request, http.PATIENCE)
+                running.heard = True
                 if (found := read(answer)) is not None:
                     return found
                 if answer.status == http.ERROR:  # after a break: it knows of no such query
                     return Outcome.RESET if tries else Outcome.ERROR
                 self.supervisor.counters.add("answers spoilt")
                 self.supervisor.log.say("answer spoilt", f"{self.name}: status {answer.status}")
-            except Refused:
-                return Outcome.RESET
-            except CannotConnect:
+            except CannotConnect as error:
+                running.heard = False
+                if isinstance(error, Refused):
+                    return Outcome.RESET
                 self.supervisor.counters.add("calls not connected")
             except CallBroken as error:
+                running.heard = False
                 self.supervisor.counters.add("calls broken")
                 self.supervisor.log.say("call broken", f"{self.name}: {error}")
                 if isinstance(error, CallSilent):
@@ -258,10 +263,8 @@
         if running.cancelled and outcome is not Outcome.ANSWERED:
             outcome = Outcome.CANCELLED
         start, work, memory = running.start, news.work if news else None, news.memory_mb if news else None
-        latency = self._clock.now() - start.at
-        self._report(
-            SendEnded(start.command, start.number, self.engine, outcome, latency, work, memory, rows)
-        )
+        name, latency = (start.command, start.number, self.engine), self._clock.now() - start.at
+        self._report(SendEnded(*name, outcome, latency, work, memory, rows, running.heard))
 
     # Ending and changing sends: on connections of their own, never behind a call that waits for news
 
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -215,8 +215,8 @@
         """An engine earns credit by its answers and is judged by failures in a row."""
         if cmd.profile.loads and be.loads.get(cmd.group, (None, 0))[0] is cmd:
             del be.loads[cmd.group]
+        be.heard = self.now if event.heard else be.heard
         if event.outcome is Outcome.ANSWERED:
-            be.heard = self.now
             be.credit = min(CREDIT_MOST, be.credit + CREDIT_PER_ANSWER)
             if be.aside_until and be.lost and a_try.at >= be.aside_at:  # may have restarted, unlisted
                 be.chill(self.now, self.now, self._chance())
@@ -227,9 +227,9 @@
             if event.work or not a_try.stalled:
                 self.usual[cmd.kind].learn(self.now, work, cmd.hint)
         elif event.outcome is Outcome.FULL:
-            be.full_at = be.heard = self.now
+            be.full_at = self.now
         elif not a_try.doomed and event.outcome not in (Outcome.MOOT, Outcome.ERROR if cmd.erred else None):
-            be.lost = be.lost or event.outcome is not Outcome.ERROR  # an error is its word: it has not ended
+            be.lost = be.lost or not event.heard  # what answers has not ended, nor has what it runs
             # a refused connection where nothing else was heard lately tells as much as several late answers
             refused = event.outcome is Outcome.CONNECT_FAILED and self.now - be.heard > self.shortest
             be.failures += FAILURES if refused else 1
@@ -526,7 +526,8 @@
         left = max(a_try.finish - self.now, age / 4) if a_try.told else float(age)
         total = age + left if a_try.told else 0 if self.given.note_every else age
         late = self.now + left > max(cmd.due, self.now + 2 * fresh)
-        if be.aside_until is not None and be.lost:
+        if be.aside_until and be.lost and (a_try.at <= be.aside_at or age > PATIENCE * a_try.expected):
+            self._set_aside(be)  # by a trial that stays out too long as well
             self._cancel(cmd, a_try)
         elif total > RUNAWAY * fresh * 2**cmd.overlong and late and not profile.loads and not a_try.stalled:
             cmd.overlong += 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -63,13 +63,14 @@
         self.tell(api.Arrived(self.ids, profile, hint, None, limit, group, key))
         return self.ids
 
-    def end(self, command: int, outcome: api.Outcome, after: int = 200 * MS) -> list[api.Action]:
+    def end(self, command: int, outcome: api.Outcome, after: int = 200 * MS,
+            heard: bool = False) -> list[api.Action]:  # fmt: skip
         """The command's latest send ends; time passes in the gateway's own looks."""
         self.pass_time(after)
         sends = self.sends(command)
         over = outcome is api.Outcome.ANSWERED
         return self.tell(api.Ended(command, len(sends) - 1, sends[-1].engine, outcome, after, over,
-                                   None, None, None))  # fmt: skip
+                                   None, None, None, heard or outcome in api.ITS_OWN_WORD))  # fmt: skip
 
     def pass_time(self, span: int) -> list[api.Action]:
         end, seen = self.now + span, len(self.log)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -317,6 +317,17 @@
     assert [fact.number for fact in engine.told.items] == [0, 1]
 
 
+async def test_a_reset_is_told_with_whether_the_engine_still_answers(engine: Any) -> None:
+    engine.stand_in.once, engine.stand_in.acts = {0: b"garbage\r\n\r\n"}, "fails"
+    engine.actor.post(start_send())
+    heard = await engine.told.until(lambda fact: True)
+    engine.stand_in.acts = "dies"
+    engine.actor.post(start_send(1))
+    lost = await engine.told.until(lambda fact: fact.number == 1)
+    assert (heard.outcome, heard.heard) == (api.Outcome.RESET, True)
+    assert (lost.outcome, lost.heard) == (api.Outcome.RESET, False)
+
+
 async def test_an_engine_that_is_gone_keeps_no_connection(engine: Any) -> None:
     engine.stand_in.acts = "answers"
     engine.actor.post(start_send())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -103,6 +103,30 @@
     assert host.sends(held) and not host.gateway._cold(be)
 
 
+def test_connections_reset_by_an_engine_that_answers_are_no_end_of_it() -> None:
+    host = Host()
+    host.engines(engine(1))
+    running = host.take()
+    for key in (1, 2, 3):
+        host.end(host.take(profile=2, key=key), Outcome.RESET, 0, heard=True)
+    host.pass_time(100 * MS)
+    assert api.Cancel(running, 0) not in host.log
+    host.end(running, Outcome.ANSWERED, 0)
+    assert not host.gateway._cold(host.gateway.ready[0])
+
+
+def test_the_trial_of_an_engine_set_aside_has_its_time_and_no_more(host: Host) -> None:
+    for be in host.gateway.backends.values():
+        host.gateway._set_aside(be)
+    host.pass_time(5 * S)
+    trial = host.take(hint=1 * S)
+    assert len(host.sends(trial)) == 1
+    host.pass_time(1500 * MS)
+    assert api.Cancel(trial, 0) not in host.log
+    host.pass_time(2 * S)
+    assert api.Cancel(trial, 0) in host.log
+
+
 def test_a_uniqued_command_stays_in_its_zone_and_window() -> None:
     host = Host()
     host.engines(engine(1), engine(2, zone=1))
