While it stops a gateway closes no idle connection, and ends once nothing is unread

Causes: (1) gateway.py drain went by commands known to the decider, blind to what was unread, waiting to be accepted or in the mailbox. (2) client.py read on after dismissing a connection, took what had crossed the close and sent it on. (3) A message that crosses a close is sent again on a new connection; to a stopping gateway none come any more. Ruled out: slow readers (none cut off), a full share (none refused), the end of the process (hundreds of ms away).

While stopping nobody gives way and no idle connection is closed; a new one beyond the share is closed at once. The stop ends once no command is open, no byte unread and no connection waiting. Also: several connections are accepted in one go, the reader gives the others their turn after each read, and the program's own descriptors are counted (13 to 15 seen, 8 were left of 256). Could harm: a crowd that holds commands open stretches a stop to its end, 3.6 s.

--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -88,6 +88,7 @@
     def __init__(self, most: int, clock: Clock, supervisor: Supervisor) -> None:
         self._most, self._clock, self._counters = most, clock, supervisor.counters
         self._count = 0
+        self.stopping = False  # nobody gives way: what crosses a close could not come again
         # since when, the longest first: nothing whole has come yet, and nothing is open
         self._silent, self._idle = dict[ClientConnection, int](), dict[ClientConnection, int]()
 
@@ -117,13 +118,20 @@
         """Now and then: what has been silent or idle for too long."""
         now = self._clock.now()
         for waiting, most in ((self._silent, front.WORD_OWED * 2 // 3), (self._idle, front.IDLE_KEPT)):
+            if self.stopping and waiting is self._idle:
+                break
             for client, since in list(waiting.items()):
                 if now - since < most:
                     break
                 self._close(client)
 
+    def asking(self) -> bool:
+        """A command is open, or something has come that is not read yet."""
+        resting = [*self._silent, *self._idle]
+        return self._count > len(resting) or any(client.has_news() for client in resting)
+
     def _close_one(self) -> bool:
-        return any(self._close(client) for client in [*self._silent, *self._idle])
+        return not self.stopping and any(self._close(client) for client in [*self._silent, *self._idle])
 
     def _close(self, client: ClientConnection) -> bool:
         if not client.dismiss():
@@ -162,14 +170,17 @@
 
     def dismiss(self) -> bool:
         """Closes it where nothing is open or being written, and no byte has come meanwhile."""
-        if self.open or self._writing or len(self.mailbox):
+        if self.open or self._writing or len(self.mailbox) or self.has_news():
             return False
-        with contextlib.suppress(OSError):
-            if bytes_there(self._sock):
-                return False
         self._end()
         return True
 
+    def has_news(self) -> bool:
+        try:
+            return bool(bytes_there(self._sock))
+        except OSError:
+            return False
+
     def _end(self) -> None:
         """Nothing more is written, and the reader comes to its end."""
         self._cut_off = True
@@ -186,6 +197,8 @@
         loop = asyncio.get_running_loop()
         try:
             while count := await loop.sock_recv_into(self._sock, buffer.space()):
+                if self._cut_off:  # it crossed the close: not taken, the client sends it again
+                    break
                 at = self._clock.now()
                 buffer.filled(count)
                 while (length := front.frame_length(buffer.data())) is not None:
@@ -195,6 +208,7 @@
                     buffer.use(front.FRAME.size + length)
                     self._handle(frame, at)
                     self._settle()
+                await asyncio.sleep(0)  # the turn of the others, however much this one sends
         except (front.BrokenFrame, BufferFull) as error:
             self.supervisor.counters.add("client connections broken")
             self.supervisor.log.say("client", str(error))
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -68,10 +68,6 @@
         self._armed: tuple[int, asyncio.TimerHandle] | None = None
         self.listed = False
 
-    @property
-    def open_commands(self) -> int:
-        return len(self._by_taken)
-
     async def run(self) -> None:
         self._now = self._clock.now()
         self._carry_out(self._tell(self._started))
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import select
 import socket
 import sys
 from dataclasses import dataclass, replace
@@ -25,6 +26,7 @@
 COME_ON = 600 * MS  # and until then commands still come
 PAUSE = 0.01  # seconds
 LONGEST_WAIT = 3000 * MS  # that much of the longest client timeout is left after that
+OWN = 16  # descriptors: the program's files, the loop's, the listener and the board
 
 
 class UnusableConfiguration(Exception):
@@ -73,15 +75,14 @@
         self._configuration = configuration
         self.supervisor, self._clock = Supervisor(), Clock()
         most, memory, deployment = configuration.descriptors, configuration.memory, configuration.deployment
-        spare = most // 32  # the program's own, and the board's
-        most_clients = most // 3 + spare
-        self._budget = SocketBudget(most - most_clients - spare)
+        self._spare = most // 32  # for connections that have just come or are about to close
+        most_clients = most // 3 + self._spare
+        self._budget = SocketBudget(most - most_clients - self._spare - OWN)
         self._share = ClientShare(most_clients, self._clock, self.supervisor)
         self._unread = Unread(memory // 8)
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor)
         self._list = EngineList(deployment, self._clock, self._decider.post, self.supervisor)
         self._listener: socket.socket | None = None
-        self._stopping = False
 
     @property
     def address(self) -> Endpoint:
@@ -105,7 +106,7 @@
         self._list.start()
         self._list.post(self._configuration.known)
         self._list.post(Follow(self._configuration.board))
-        self.supervisor.keep("accept", lambda: self._accept(listener))
+        self._resume_accept(listener)
         self.supervisor.keep("watch", self._watch)
 
     def reload(self, new: Configuration) -> None:
@@ -123,18 +124,27 @@
             self._list.post(Follow(new.board))
 
     def _good(self) -> bool:
-        return self._decider.listed and not self._stopping
+        return self._decider.listed and not self._share.stopping
 
-    async def _accept(self, listener: socket.socket) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
+    def _resume_accept(self, listener: socket.socket) -> None:
+        if listener.fileno() >= 0:
+            asyncio.get_running_loop().add_reader(listener, self._accept, listener)
+
+    def _accept(self, listener: socket.socket) -> None:
+        """Several in one go: guards those that wait behind a crowd which connects all at once."""
+        for _ in range(max(1, self._spare)):
             try:
-                sock, _ = await loop.sock_accept(listener)
+                sock, _ = listener.accept()
+            except BlockingIOError:
+                return
             except OSError as error:  # out of descriptors, or the peer has left already
                 self.supervisor.counters.add("accepts failed")
                 self.supervisor.log.say("accept", str(error))
-                await asyncio.sleep(PAUSE)
-                continue
+                loop = asyncio.get_running_loop()
+                loop.remove_reader(listener)
+                loop.call_later(PAUSE, self._resume_accept, listener)
+                return
+            sock.setblocking(False)
             self.supervisor.start("client", self._serve(sock))
 
     async def _serve(self, sock: socket.socket) -> None:
@@ -164,21 +174,27 @@
             self._share.look_after()
 
     async def drain(self) -> None:
-        """A planned stop: takes what still comes, and returns once all is answered or time is up."""
-        self._stopping = True
+        """A planned stop: takes what still comes, and returns once all is read and answered or time is up."""
+        self._share.stopping = True
         began = self._clock.now()
         longest = max(profile.client_timeout for profile in self._configuration.deployment.started.profiles)
         by = began + min(longest, LONGEST_WAIT) + COME_ON
         self._decider.post(api.Stopping(by))
         while (now := self._clock.now()) < by:
-            if now >= began + STAY and not (self._decider.open_commands or self._unread.total):
+            owed = self._unread.total or self._share.asking() or self._knocks()
+            if now >= began + STAY and not owed:
                 break
             await asyncio.sleep(PAUSE)
 
+    def _knocks(self) -> bool:
+        """A connection waits to be accepted."""
+        return self._listener is not None and bool(select.select([self._listener], [], [], 0)[0])
+
     def print_counters(self) -> None:
         print("\n".join([*self.supervisor.counters.lines(), "counters end"]), file=sys.stderr, flush=True)
 
     async def stop(self) -> None:
         if self._listener is not None:
+            asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
         await self.supervisor.stop()
