The module takes levels of reduced service, tells its beliefs, and sheds no uniqued command too late

Reduced: the admitted part of each profile by the command's lot, which further sends are made, longest advice and priorities; what is held unsent and not admitted is answered at once. Asked is answered by Believed and changes nothing. Defect seen by a probe: a uniqued command of scope all, remembered for 15 s and reset 20 s after its one send, was shed, though its repeat would no longer be dropped. Now it fails.

--- a/lotusstream/drill/wire.py
+++ b/lotusstream/drill/wire.py
@@ -198,3 +198,5 @@
             return SET_TIMER.pack(74, who, at, token)
         case api.Subscribe(on):
             return KEEP_INFORMED.pack(73, who, on)
+        case api.Believed():
+            return b""  # nobody asks here
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -219,6 +219,40 @@
     by: int
 
 
+class Further(Enum):
+    """The sends after a command's first that are still made."""
+
+    ALL = "all"
+    UNRUN = "unrun"  # only where no earlier send may have run
+    NONE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class Reduced:
+    """Reduced service, until the next of these. By place of the profile: the admitted part of its new
+    commands (0 to 1), and the priority of its sends where that is set."""
+
+    admitted: tuple[float, ...]
+    further: Further
+    longest_advice: int | None  # None: as allowed
+    priorities: tuple[int | None, ...]
+
+    @property
+    def full(self) -> bool:
+        """Nothing is reduced."""
+        return (
+            min(self.admitted, default=1.0) >= 1
+            and self.further is Further.ALL
+            and self.longest_advice is None
+            and not any(priority is not None for priority in self.priorities)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What does the module believe? Changes nothing; answered by Believed."""
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     engine: EngineId
@@ -232,7 +266,20 @@
     """All that is known at this time has been told."""
 
 
-Event = Started | EngineNews | Arrived | Ended | Noted | ClientGone | Woken | Probed | Stopping | Settled
+Event = (
+    Started
+    | EngineNews
+    | Arrived
+    | Ended
+    | Noted
+    | ClientGone
+    | Woken
+    | Probed
+    | Stopping
+    | Reduced
+    | Asked
+    | Settled
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,6 +300,7 @@
 class Shed:
     command: int
     come_back_after: int
+    reduced: bool = False  # since the level in force does not admit it
 
 
 @dataclass(frozen=True, slots=True)
@@ -282,4 +330,38 @@
     on: bool
 
 
-Action = Send | Resources | Shed | Fail | Cancel | Probe | Wake | Subscribe
+@dataclass(frozen=True, slots=True)
+class Belief:
+    """One engine on the list, as the module sees it. `pace`: recent latency over what the work would take
+    alone. `slice`: threads that this gateway may have there under pressure, as last bounded."""
+
+    engine: EngineId
+    state: State
+    zone: int
+    kind: int
+    cores: float
+    threads: int
+    sends: int
+    loads: int
+    pace: float
+    pressed: bool
+    slice: float
+    credit: float
+    failures: int
+    aside_until: int | None
+    cold_until: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Believed:
+    """The answer to Asked. `share`: this gateway's part of the traffic, 0 to 1."""
+
+    engines: tuple[Belief, ...]
+    share: float
+    calm: float
+    strained: bool
+    open: int
+    held: int
+
+
+Action = Believed | Send | Resources | Shed | Fail | Cancel | Probe | Wake | Subscribe
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -13,7 +13,7 @@
 from dataclasses import replace
 
 from lotusstream import interface as api
-from lotusstream.interface import Effect, ListKind, Note, Outcome, State
+from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, State
 from lotusstream.state import Backend, Command, Ring, Try
 
 SAMPLE, BUCKETS, ENOUGH = 5, 16, 16  # k of SMF; a ring's whole buckets; answers that tell a pace
@@ -69,10 +69,12 @@
         self.homes: dict[object, list[Backend]] = {}
         self.groups, self.earlier, self.epoch = Counter[int](), Counter[int](), 0  # commands per group
         self.draws, self.looked_at, self.stop_by = 0, 0, NEVER
+        self.reduced: api.Reduced | None = None
         self.reactions = {
             api.Started: self._start, api.EngineNews: self._learn_engines, api.Arrived: self._take,
             api.Ended: self._end_try, api.Noted: self._note, api.Probed: self._probed, api.Woken: self._woken,
             api.ClientGone: self._client_gone, api.Stopping: self._stop, api.Settled: self._settle,
+            api.Reduced: self._reduce, api.Asked: self._tell_beliefs,
         }  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -150,7 +152,7 @@
         if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand and self.ready:
             self.unprobed, self.probed = 0, self.probed + 1
             self.actions.append(api.Probe(self.ready[self.probed % len(self.ready)].entry.id))
-        if ends_by - self.now <= 2 * self.look_every:  # nothing can be done in what is left
+        if ends_by - self.now <= 2 * self.look_every or not self._admitted(cmd):  # nothing can be done
             self._give_up(cmd)
 
     def _client_gone(self, event: api.ClientGone) -> None:
@@ -164,6 +166,24 @@
             cmd.ends_by, cmd.due = min(cmd.ends_by, event.by), min(cmd.due, event.by)
         self._plan(self.now)
 
+    def _reduce(self, event: api.Reduced) -> None:
+        """The level of reduced service: what it does not admit and was not sent yet is answered at once."""
+        self.reduced = None if event.full else event
+        for cmd in [cmd for cmd in self.waiting.values() if not cmd.tries and not self._admitted(cmd)]:
+            self._give_up(cmd)
+
+    def _admitted(self, cmd: Command) -> bool:
+        """By the command's lot: a lower part admits none that a higher one would not."""
+        return self.reduced is None or cmd.lot < self.reduced.admitted[cmd.kind] * 2**32
+
+    def _tell_beliefs(self, _event: api.Asked) -> None:
+        beliefs = [api.Belief(be.entry.id, be.entry.state, be.entry.zone, be.entry.kind, be.cores, be.threads,
+                              len(be.out), len(be.loads), be.pace, be.pressed, be.slice, be.credit,
+                              be.failures, be.aside_until, self._cold_until(be))
+                   for be in self.backends.values()]  # fmt: skip
+        self.actions.append(api.Believed(tuple(beliefs), self.share, self.calm, self.strained,
+                                         len(self.open), len(self.waiting)))  # fmt: skip
+
     def _woken(self, event: api.Woken) -> None:
         self.woken_for = None if event.token == self.woken_for else self.woken_for
 
@@ -273,19 +293,31 @@
 
     def _give_up(self, cmd: Command) -> None:
         """The final answer at once: a shed reply where a repeat is harmless, otherwise a failure."""
-        dropped = cmd.profile.effect is Effect.UNIQUED and cmd.profile.scope is api.Scope.ALL
+        advice = self.allowed.longest_advice
+        if self.reduced:  # guards against all that was refused coming back as one
+            most = self.reduced.longest_advice
+            advice = int(min(advice, advice if most is None else most) * (1 + self._chance()) / 2)
+        dropped = (cmd.profile.effect is Effect.UNIQUED and cmd.profile.scope is api.Scope.ALL
+                   and self._remembered(cmd, advice))  # fmt: skip
         harmless = not cmd.ran or cmd.profile.effect is Effect.REPLAYABLE or dropped
-        self.actions.append(api.Shed(cmd.id, self.allowed.longest_advice) if harmless else api.Fail(cmd.id))
+        reduced = not cmd.tries and not self._admitted(cmd)
+        self.actions.append(api.Shed(cmd.id, advice, reduced) if harmless else api.Fail(cmd.id))
         self._forget(cmd)
 
+    def _remembered(self, cmd: Command, after: int) -> bool:
+        """A repeat that comes after that time is still dropped by the engines."""
+        return self.now + after + self.look_every < cmd.ran[0].at + cmd.profile.remembered_for
+
     def _may_send_again(self, cmd: Command) -> bool:
         # guards all engines against commands that none can use: an error of two is the command's own
         if len(cmd.tries) >= self.allowed.sends or self.now >= cmd.ends_by or len(cmd.erred) > 1:
             return False
-        if not (ran := cmd.ran) or cmd.profile.effect is Effect.REPLAYABLE:
+        off = {Further.NONE: bool(cmd.tries), Further.UNRUN: bool(cmd.ran)}
+        if self.reduced and off.get(self.reduced.further):
+            return False
+        if not cmd.ran or cmd.profile.effect is Effect.REPLAYABLE:
             return True
-        in_time = self.now + self.look_every < ran[0].at + cmd.profile.remembered_for
-        return cmd.profile.effect is Effect.UNIQUED and in_time
+        return cmd.profile.effect is Effect.UNIQUED and self._remembered(cmd, 0)
 
     # Where a command may go
 
@@ -300,7 +332,11 @@
         return not self._cold(be) or self._bears(be, cmd.weight)
 
     def _cold(self, be: Backend) -> bool:
-        return be.cold_at is not None and self.now < be.cold_at + self.duties.warm_up
+        return self._cold_until(be) is not None
+
+    def _cold_until(self, be: Backend) -> int | None:
+        until = None if be.cold_at is None else be.cold_at + self.duties.warm_up
+        return until if until is not None and self.now < until else None
 
     def _bears(self, be: Backend, weight: float) -> bool:
         """Guards a just started engine against the sum of all gateways. Where this one's part in a window is
@@ -470,8 +506,10 @@
             be.cold_spent += cmd.weight
         if cmd.profile.loads:  # scarce cores go first to what others stand behind
             be.loads[cmd.group] = (cmd, a_try.finish)
-            if self.allowed.priorities and not a_try.number:
-                self.actions.append(api.Resources(cmd.id, 0.0, HIGHEST))
+        named = self.reduced.priorities[cmd.kind] if self.reduced else None
+        rank = HIGHEST if cmd.profile.loads else named
+        if rank is not None and self.allowed.priorities and not a_try.number:
+            self.actions.append(api.Resources(cmd.id, 0.0, rank))
         self.actions.append(api.Send(cmd.id, be.entry.id, cmd.ends_by - self.now))
         self._plan(min(self.now + max(self.look_every, int(expected / 4)), cmd.ends_by - 2 * self.look_every))
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -74,7 +74,7 @@
 
     def pass_time(self, span: int) -> list[api.Action]:
         end, seen = self.now + span, len(self.log)
-        while (due := [a.at for a in self.log if isinstance(a, api.Wake) and self.now < a.at <= end]):
+        while due := [a.at for a in self.log if isinstance(a, api.Wake) and self.now < a.at <= end]:
             self.now = min(due)
             self.tell(api.Woken(self.now))
         self.now = end
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,6 +1,9 @@
 """Short stories, one for each rule and each failure met."""
 
-from conftest import MS, Host, S, engine
+from dataclasses import replace
+
+import pytest
+from conftest import LOAD, LOOKUP, MS, ONCE, UNIQUED, Host, S, engine
 
 from lotusstream import interface as api
 from lotusstream.interface import Outcome, State
@@ -372,3 +375,75 @@
     host.pass_time(600 * MS)
     held = host.take(group=5)
     assert not host.sends(held)
+
+
+def test_a_uniqued_command_is_not_shed_once_its_repeat_would_no_longer_be_dropped() -> None:
+    everywhere = replace(UNIQUED, scope=api.Scope.ALL, remembered_for=15 * S)
+    for reset_after, ending in ((10 * S, api.Shed), (20 * S, api.Fail)):
+        host = Host(profiles=(LOOKUP, LOAD, ONCE, everywhere))
+        host.engines(engine(1))
+        command = host.take(3)
+        host.pass_time(reset_after)
+        host.engines(engine(1, state=State.DRAINING))
+        host.end(command, Outcome.RESET, after=0)
+        host.pass_time(S if ending is api.Shed else 0)
+        host.tell(api.Stopping(host.now))
+        host.pass_time(S)
+        assert [type(final) for final in host.finals(command)] == [ending]
+
+
+def reduced(lookups: float, **changes: object) -> api.Reduced:
+    plain = api.Reduced((lookups, 1.0, 1.0, 1.0, 1.0), api.Further.ALL, None, (None,) * 5)
+    return replace(plain, **changes)
+
+
+def test_a_level_admits_its_part_of_a_profile_and_spreads_when_the_rest_returns(host: Host) -> None:
+    host.tell(reduced(0.3))
+    shed = [host.finals(host.take(timeout=3 * S)) for _ in range(400)]
+    cut = [finals[0] for finals in shed if finals]
+    assert 0.6 < len(cut) / 400 < 0.8 and all(isinstance(final, api.Shed) and final.reduced for final in cut)
+    advice = {final.come_back_after for final in cut if isinstance(final, api.Shed)}
+    assert len(advice) > 200 and min(advice) >= 250 * MS and max(advice) <= 500 * MS
+    assert not host.finals(host.take(profile=1))
+    host.tell(reduced(1.0))
+    assert not host.finals(host.take(timeout=3 * S))
+
+
+def test_a_level_answers_what_it_holds_unsent_and_leaves_alone_what_may_have_run() -> None:
+    host = Host()
+    host.engines(engine(1))
+    sent = host.take()
+    host.engines(engine(1, state=State.DRAINING))
+    held = host.take()
+    host.tell(reduced(0.0))
+    assert host.finals(held) == [host.log[-1]] and not host.finals(sent)
+
+
+@pytest.mark.parametrize(
+    ("further", "outcome", "again"),
+    [("all", "RESET", True), ("unrun", "RESET", False), ("unrun", "CONNECT_FAILED", True),
+     ("none", "CONNECT_FAILED", False)],
+)  # fmt: skip
+def test_a_level_says_which_further_sends_are_made(
+    host: Host, further: str, outcome: str, again: bool
+) -> None:
+    host.tell(reduced(1.0, further=api.Further(further)))
+    command = host.take()
+    host.end(command, Outcome[outcome])
+    assert len(host.sends(command)) == 1 + again and bool(host.finals(command)) != again
+
+
+def test_a_level_names_priorities_and_full_service_takes_them_back(host: Host) -> None:
+    host.tell(reduced(1.0, priorities=(0, None, None, None, None)))
+    low = host.take()
+    host.tell(reduced(1.0))
+    host.take()
+    named = [(action.command, action.priority) for action in host.log if isinstance(action, api.Resources)]
+    assert named == [(low, 0)]
+
+
+def test_asking_for_beliefs_changes_nothing(host: Host) -> None:
+    host.take(profile=1)
+    (believed,) = host.tell(api.Asked())
+    assert isinstance(believed, api.Believed)
+    assert sorted(belief.sends for belief in believed.engines) == [0, 0, 1] and believed.open == 1
