--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -299,14 +299,15 @@
             advice = int(min(advice, advice if most is None else most) * (1 + self._chance()) / 2)
         dropped = (cmd.profile.effect is Effect.UNIQUED and cmd.profile.scope is api.Scope.ALL
                    and self._remembered(cmd, advice))  # fmt: skip
-        harmless = not cmd.ran or cmd.profile.effect is Effect.REPLAYABLE or dropped
+        harmless = cmd.profile.effect is Effect.REPLAYABLE or dropped or not cmd.ran
         reduced = not cmd.tries and not self._admitted(cmd)
         self.actions.append(api.Shed(cmd.id, advice, reduced) if harmless else api.Fail(cmd.id))
         self._forget(cmd)
 
     def _remembered(self, cmd: Command, after: int) -> bool:
         """A repeat that comes after that time is still dropped by the engines."""
-        return self.now + after + self.look_every < cmd.ran[0].at + cmd.profile.remembered_for
+        ran = cmd.ran
+        return not ran or self.now + after + self.look_every < ran[0].at + cmd.profile.remembered_for
 
     def _may_send_again(self, cmd: Command) -> bool:
         # guards all engines against commands that none can use: an error of two is the command's own
@@ -315,9 +316,9 @@
         off = {Further.NONE: bool(cmd.tries), Further.UNRUN: bool(cmd.ran)}
         if self.reduced and off.get(self.reduced.further):
             return False
-        if not cmd.ran or cmd.profile.effect is Effect.REPLAYABLE:
-            return True
-        return cmd.profile.effect is Effect.UNIQUED and self._remembered(cmd, 0)
+        if cmd.profile.effect is Effect.NON_REPLAYABLE:
+            return not cmd.ran
+        return cmd.profile.effect is Effect.REPLAYABLE or self._remembered(cmd, 0)
 
     # Where a command may go
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -447,3 +447,10 @@
     (believed,) = host.tell(api.Asked())
     assert isinstance(believed, api.Believed)
     assert sorted(belief.sends for belief in believed.engines) == [0, 0, 1] and believed.open == 1
+
+
+def test_a_uniqued_command_that_never_ran_is_shed_whatever_its_age() -> None:
+    host = Host()
+    command = host.take(3)
+    host.pass_time(26 * S)
+    assert [type(final) for final in host.finals(command)] == [api.Shed]
