--- a/lotusstream/levels/gauge.py
+++ b/lotusstream/levels/gauge.py
@@ -63,6 +63,7 @@
         self._out: dict[tuple[int, int], tuple[api.EngineId, float]] = {}
         self._done: dict[api.EngineId, float] = {}  # since the last tick
         self._sends: dict[int, int] = {}
+        self._broke: set[api.EngineId] = set()  # last seen to refuse or reset, not to be slow
         self._believed: tuple[int, api.Believed] | None = None
         self._health: tuple[int, Health] | None = None
         self._last: int | None = None
@@ -117,6 +118,10 @@
 
     def _ended(self, now: int, fact: api.Ended) -> None:
         engine, work = self._out.pop((fact.command, fact.send), (fact.engine, 0.0))
+        if fact.outcome in (api.Outcome.CONNECT_FAILED, api.Outcome.RESET) and not fact.heard:
+            self._broke.add(engine)
+        elif fact.heard:
+            self._broke.discard(engine)
         asking = self._open.get(fact.command)
         if fact.outcome is api.Outcome.ANSWERED:
             self._done[engine] = self._done.get(engine, 0.0) + work
@@ -155,6 +160,7 @@
             self._sends.pop(command, None)
 
     def _list(self, now: int, believed: api.Believed) -> None:
+        self._broke &= {belief.engine for belief in believed.engines}
         width = max(1, MOST_LISTED_MEMORY * self._window // BUCKETS)
         slot = self._most[now // width % BUCKETS]
         if slot[0] != now // width:
@@ -221,9 +227,14 @@
             aside = [belief for belief in listed if belief.aside_until is not None]
             values["aside", None] = Value(_cores(aside) / _cores(listed), len(listed))
 
-    def usable_cores(self, now: int) -> float | None:
+    def standing_cores(self, now: int) -> float | None:
+        """Cores of listed engines that are not seen to be gone: one that is set aside since it says nothing may
+        only be jammed, and a jam is no lost engine."""
         believed = self._fresh(now, self._believed)
-        return None if believed is None else _cores([b for b in believed.engines if _usable(b)])
+        if believed is None:
+            return None
+        ready = [b for b in believed.engines if b.state is api.State.READY]
+        return _cores([b for b in ready if b.aside_until is None or b.engine not in self._broke])
 
     def _work_values(
         self, now: int, believed: api.Believed | None, watched: float, values: dict[Key, Value | None]
--- a/lotusstream/levels/keeper.py
+++ b/lotusstream/levels/keeper.py
@@ -89,7 +89,7 @@
         self._entering: list[int | None] = [None] * len(ladder.levels)  # true since
         self._leaving: int | None = None
         self._values: Values = {}
-        self._cores: float | None = None  # usable at the last change
+        self._cores: float | None = None  # standing at the last change
         self._admitted = [1.0] * len(names)
         self._told: api.Reduced | None = None
         self._last: int | None = None
@@ -178,7 +178,7 @@
         return int(condition.dwell * self._jitter)
 
     def _lost_cores(self, now: int) -> bool:
-        cores = self._gauge.usable_cores(now)
+        cores = self._gauge.standing_cores(now)
         return (
             cores is not None and bool(self._cores) and cores < (self._cores or 0.0) * (1 - self._ladder.lost)
         )
@@ -203,7 +203,7 @@
         names = (self._ladder.name(source), self._ladder.name(rung))
         self.history.add(Change(now, *names, rung, cause, text, readings, self._ends_when()))
         self._since = self._changed_at = now
-        self._leaving, self._cores = None, self._gauge.usable_cores(now)
+        self._leaving, self._cores = None, self._gauge.standing_cores(now)
         self._draw()
         if rung > source:
             self._admitted = [min(a, floor) for a, floor in zip(self._admitted, self._floors(), strict=True)]
