Stories of levels, operator file and control socket; the severity of a line is no level

Levels on a virtual clock and with hypothesis, a corpus of broken files with one line each, the control socket and command line with the program among stand-ins.

Found by them: structlog's 'level' overwrote the level of reduced service in a line (now 'severity'); a misspelt block left its inner blocks open; a World that starts a second time took the first one's line.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -31,8 +31,8 @@
 
 def _profile(target: int, timeout: int, benefit: float, threads: int, kinds: Kinds) -> api.Profile:
     return api.Profile(
-        target, 0.0, timeout, benefit, 0.0, api.Effect.REPLAYABLE, api.Scope.ALL, 0, False, None, kinds, False,
-        False, threads,
+        target, 0.0, timeout, benefit, 0.0, api.Effect.REPLAYABLE, api.Scope.ALL, 0, False, None, kinds,
+        False, False, threads,
     )  # fmt: skip
 
 
--- a/benchmarks/levels.py
+++ b/benchmarks/levels.py
@@ -51,7 +51,8 @@
 
 
 def hard_time(out: Outcome, profile: int | None) -> float:
-    """Benefit kept of what was asked between the crash and the capacity's return, a second of slack at its end."""
+    """Benefit kept of what was asked between the crash and the capacity's return, a second of slack at its
+    end."""
     which = range(len(NAMES)) if profile is None else (profile,)
     window = range(CRASH_AT, CRASH_AT + BACK_AFTER)
     asked = sum(out.asked[at][p] for at in window for p in which)
@@ -81,7 +82,8 @@
     most = max((sum(at <= other < at + 30 * S for other in changes) for at in changes), default=0)
     return {
         "variant": variant, "kind": kind, "period": period, "seed": seed, "benefit": out.kept(),
-        "reports": out.kept(REPORT), "lookups": out.kept(LOOKUP), "hard": hard_time(out, REPORT) if kind == "overload" else 1.0, "lost": out.lost, "broken": out.broken,
+        "reports": out.kept(REPORT), "lookups": out.kept(LOOKUP),
+        "hard": hard_time(out, REPORT) if kind == "overload" else 1.0, "lost": out.lost, "broken": out.broken,
         "recovery": recovery(out), "changes": len(changes), "most": most, "sends": out.sends,
         "names": [change.target for change in keeper.history] if keeper else [],
         "cpu": time.process_time() - began,
@@ -125,11 +127,11 @@
     days = {v: [r for r in found if r["variant"] == v and r["kind"] == "overload"] for v in MAKERS}
 
     def mean(variant: str, what: str) -> float:
-        return sum(r[what] for r in days[variant]) / len(days[variant])
+        return sum([float(r[what]) for r in days[variant]]) / len(days[variant])
 
     edges = [r for r in found if r["kind"] != "overload" and r["variant"] == "levels"]
     costs = [(round_cost(True), round_cost(False)) for _ in range(3)]
-    ratio = min(on for on, _ in costs) / min(off for _, off in costs)
+    ratio = min([on for on, _ in costs]) / min([off for _, off in costs])
     told: dict[str, Any] = {
         "seeds": list(SEEDS),
         "changes_per_30s_at_boundary": max(r["most"] for r in edges),
@@ -148,13 +150,15 @@
         told[f"benefit_kept_{variant}"] = mean(variant, "benefit")
         told[f"recovery_s_{variant}"] = max(r["recovery"] for r in days[variant])
     lines = [
-        "day       variant          seed  benefit  reports  lookups  hard time  recovery  changes  lost  broken"
+        "day       variant          seed  benefit  reports  lookups  hard time  recovery"
+        "  changes  lost  broken"
     ]
     for r in found:
         day = r["kind"] if r["kind"] == "overload" else f"{r['kind']} {r['period']:g}s"
         lines.append(
             f"{day:9} {r['variant']:16} {r['seed']:4}  {r['benefit']:7.3f}  {r['reports']:7.3f}"
-            f"  {r['lookups']:7.3f}  {r['hard']:9.3f}  {r['recovery']:7.0f}s  {r['changes']:7}  {r['lost']:4}  {r['broken']:6}"
+            f"  {r['lookups']:7.3f}  {r['hard']:9.3f}  {r['recovery']:7.0f}s"
+            f"  {r['changes']:7}  {r['lost']:4}  {r['broken']:6}"
             f"  {' '.join(r['names'][:8]) if r['variant'] == 'levels' else ''}"
         )
     lines.append(f"processor time of module and keeper over module alone: {ratio:.2f}")
--- a/lotusstream/levels/gauge.py
+++ b/lotusstream/levels/gauge.py
@@ -228,8 +228,8 @@
             values["aside", None] = Value(_cores(aside) / _cores(listed), len(listed))
 
     def standing_cores(self, now: int) -> float | None:
-        """Cores of listed engines that are not seen to be gone: one that is set aside since it says nothing may
-        only be jammed, and a jam is no lost engine."""
+        """Cores of listed engines that are not seen to be gone: one that is set aside since it says
+        nothing may only be jammed, and a jam is no lost engine."""
         believed = self._fresh(now, self._believed)
         if believed is None:
             return None
--- a/lotusstream/observe/log.py
+++ b/lotusstream/observe/log.py
@@ -23,18 +23,34 @@
     return event
 
 
+def _severity(_logger: object, method: str, event: structlog.typing.EventDict) -> structlog.typing.EventDict:
+    """Not 'level', as structlog has it: that is a level of reduced service here."""
+    event["severity"] = method
+    return event
+
+
+def _console(colors: bool) -> structlog.dev.ConsoleRenderer:
+    def column(key: str, width: int = 0, key_style: str | None = None) -> structlog.dev.Column:
+        styles = structlog.dev.ConsoleRenderer.get_default_column_styles(colors)
+        style = {"timestamp": styles.timestamp, "event": styles.bright}.get(key, styles.kv_value)
+        form = structlog.dev.KeyValueColumnFormatter(
+            key_style=key_style, value_style=style, reset_style=styles.reset, value_repr=str, width=width
+        )
+        return structlog.dev.Column(key, form)
+
+    columns = [column("timestamp"), column("severity", 8), column("event", 12), column("", 0, "")]
+    return structlog.dev.ConsoleRenderer(columns=columns)
+
+
 def structured(form: str, threshold: str, gateway: str, stream: TextIO | None = None) -> Writer:
     """`form`: console or json. `threshold`: the least severity that is written."""
     target = stream or sys.stderr
     renderer: structlog.typing.Processor
-    if form == "json":
-        renderer = structlog.processors.JSONRenderer()
-    else:
-        renderer = structlog.dev.ConsoleRenderer(colors=target.isatty())
+    renderer = structlog.processors.JSONRenderer() if form == "json" else _console(target.isatty())
     logger = structlog.wrap_logger(
         structlog.PrintLogger(target),
         processors=[
-            structlog.processors.add_log_level,
+            _severity,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             _shortened,
             renderer,
--- a/lotusstream/operator/tree.py
+++ b/lotusstream/operator/tree.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import difflib
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -70,6 +71,12 @@
         return absent if node is None else node.values.get(argument, absent)
 
 
+def _blocks(vocabulary: Mapping[str, Directive]) -> list[str]:
+    """The keywords of all blocks, at whatever depth."""
+    found = [directive for directive in vocabulary.values() if directive.block is not None]
+    return [each.keyword for each in found] + [word for each in found for word in _blocks(each.block or {})]
+
+
 def name(word: Word) -> str:
     if word.kind not in ("NAME", "STRING"):
         raise Unfit(f"found '{word.text}'", "a name of letters, digits, '-' and '_' would do")
@@ -137,6 +144,7 @@
                 skipped = self._close(line, open_blocks, skipped)
                 continue
             if skipped:
+                skipped += self._opens(line.keyword)
                 continue
             directive = (open_blocks[-1].directive.block or {}).get(line.keyword)
             if directive is None:
@@ -183,10 +191,11 @@
         else:
             hint = nearest(line.keyword, [*known, END] if len(open_blocks) > 1 else known)
         self._problem(line.number, line.column, f"'{line.keyword}' is not known {where}", hint)
-        found = outer.block.get(line.keyword) if outer is not None and outer.block else None
-        close = [known[word] for word in known if nearest(line.keyword, [word]).startswith("did")]
-        opens = found or (close[0] if close else None)
-        return int(opens is not None and opens.block is not None)
+        return self._opens(line.keyword)
+
+    def _opens(self, keyword: str) -> int:
+        """1 for what is, or is meant as, the keyword of some block."""
+        return int(any(difflib.get_close_matches(keyword, _blocks(self._vocabulary), 1)))
 
     def _node(self, directive: Directive, line: Line) -> Node:
         node = Node(directive, line.number, line.column)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import math
+import re
 import signal
 import struct
 import sys
@@ -16,6 +17,7 @@
 from typing import Any
 
 import pytest
+from hypothesis import settings as hypothesis_settings
 from thrift.protocol.TBinaryProtocol import TBinaryProtocol
 from thrift.Thrift import TMessageType, TType
 from thrift.transport.TTransport import TMemoryBuffer
@@ -23,6 +25,9 @@
 from lotusstream import interface as api
 from lotusstream.policy import Gateway
 
+hypothesis_settings.register_profile("same", derandomize=True, deadline=None, database=None)
+hypothesis_settings.load_profile("same")  # the same verdict always
+
 MS, S = 1_000, 1_000_000
 LIMIT = 20  # seconds, for whatever is waited for
 CALLS = itertools.count(1)
@@ -371,6 +376,13 @@
         self.log = Line()
         self.clients: list[StandInClient] = []
         self.program: asyncio.subprocess.Process | None = None
+        self.operator: Path | None = None
+
+    def operate(self, text: str) -> Path:
+        """The gateway is started with this operator file, or reads it at the next SIGHUP."""
+        self.operator = self.folder / "operator.conf"
+        self.operator.write_text(text)
+        return self.operator
 
     async def start(self, *engines: str) -> StandInClient:
         self.engines += [StandInEngine(uid) for uid in engines]
@@ -390,14 +402,17 @@
 
     async def run(self, port: int = 0) -> None:
         path = self.configure(port)
-        words = ("-m", "lotusstream", "serve", "--config", str(path))
+        words = ["-m", "lotusstream", "serve", "--config", str(path)]
+        words += ["--operator", str(self.operator)] if self.operator else []
+        starts = sum("listening" in line for line in self.log.items)
         self.program = await asyncio.create_subprocess_exec(
             sys.executable, *words, stderr=asyncio.subprocess.PIPE
         )
         self._reading = asyncio.create_task(self._read(self.program))
-        starts = self.log.items.count(f"listening on 127.0.0.1:{port}") if port else 0
-        line = await self.log.until(lambda line: line.startswith("listening on"), starts + 1)
-        self.port = int(line.rpartition(":")[2])
+        line = await self.log.until(lambda line: "listening" in line, starts + 1)
+        found = re.search(r"on 127\.0\.0\.1:(\d+)", line)
+        assert found is not None, line
+        self.port = int(found[1])
 
     async def _read(self, program: asyncio.subprocess.Process) -> None:
         assert program.stderr is not None
--- /dev/null
+++ b/tests/levels/rig.py
@@ -0,0 +1,145 @@
+"""Facts for a keeper, made by hand on a virtual clock: so much asked for, so much of it shed or late."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+from dataclasses import replace
+
+from lotusstream import interface as api
+from lotusstream.levels.gauge import Health
+from lotusstream.levels.keeper import KeeperEvent, LevelKeeper
+from lotusstream.levels.ladder import Ladder
+from lotusstream.operator.file import read_operator_file
+
+MS, S = 1_000, 1_000_000
+NAMES = ("lookup", "report")
+LOOKUP = api.Profile(S, 0.0, 6 * S, 1.0, 0.1, api.Effect.REPLAYABLE, api.Scope.ALL, 0,
+                     False, None, None, False, True, 1)  # fmt: skip
+REPORT = replace(LOOKUP, target=2 * S, client_timeout=25 * S, benefit=8.0, kinds=frozenset({1}), threads=2)
+CORES, WORK = 8.0, 800 * MS
+LADDER = """ladder
+  ramp 10s while used < 90%
+  level trimmed
+    enter load > 120% for 3s
+    leave load < 100% for 5s
+    admit lookup 60%
+  end
+  level lifeline
+    enter load > 200% for 1s
+    leave load < 150% for 5s
+    admit lookup 10%
+    further unrun
+    priority report 2
+  end
+end
+"""
+
+
+def ladder(text: str = LADDER) -> Ladder:
+    found = read_operator_file(text, "ladder.conf").ladder
+    assert found is not None
+    return found
+
+
+def started(seed: int = 7) -> api.Started:
+    duties = api.Duties(20 * MS, 0.3, 15 * S, 3.0, S, 300 * MS, 0.0, 0.0, 0, 10 * S)
+    allowed = api.Allowed(4, True, True, False, False, True, 500 * MS, False)
+    return api.Started(
+        seed, 1, 5 * MS, (LOOKUP, REPORT), (api.Kind(CORES, 0.0),) * 2, 1.0, 0, False, allowed, duties
+    )
+
+
+def belief(name: int, kind: int = 0, **changes: object) -> api.Belief:
+    plain = api.Belief(
+        bytes([name] * 6), api.State.READY, 0, kind, CORES, 4, 4, 0, 1.0, False, 16.0, 2.0, 0, None, None
+    )
+    return replace(plain, **changes)
+
+
+FLEET = (belief(1), belief(2), belief(3, 1), belief(4, 1))
+
+
+class Rig:
+    """`flow` lets time pass with so much load on the engines that are there."""
+
+    def __init__(self, of: Ladder | None = None, seed: int = 7) -> None:
+        self.keeper = LevelKeeper(of or ladder(), started(seed), NAMES)
+        self.now, self.ids, self.owed = S, itertools.count(1), 0.0
+        self.engines: tuple[api.Belief, ...] = FLEET
+        self.told: list[api.Reduced] = []
+
+    def tell(self, event: api.Event | api.Action | KeeperEvent) -> None:
+        for answer in self.keeper.handle(self.now, event):
+            if isinstance(answer, api.Asked):
+                self.keeper.handle(self.now, api.Believed(self.engines, 1.0, 1.0, False, 0, 0))
+            elif isinstance(answer, api.Reduced):
+                self.told.append(answer)
+
+    def flow(self, seconds: float, load: float | Callable[[float], float], *, profile: int = 0,
+             shed: float = 0.0, late: float = 0.0,
+             until: Callable[[], bool] | None = None) -> Rig:  # fmt: skip
+        """`load`: of all cores of the first fleet, or a function of the seconds. Ends sooner when `until`
+        holds."""
+        began, step = self.now, 250 * MS
+        for at in range(int(seconds * S / step)):
+            if until is not None and until():
+                break
+            share = load(at * step / S) if callable(load) else load
+            self.owed += share * CORES * len(FLEET) * step / WORK
+            while self.owed >= 1:
+                self.owed -= 1
+                self._one(profile, shed, late)
+            self.now = began + (at + 1) * step
+            self.tell(api.Settled())
+        return self
+
+    def _one(self, profile: int, shed: float, late: float) -> None:
+        command = next(self.ids)
+        self.tell(api.Arrived(command, profile, WORK, None, 6 * S, 1, None))
+        if command % 100 < 100 * shed:
+            self.tell(api.Shed(command, 0))
+        elif command % 100 < 100 * (shed + late):
+            self.tell(api.Fail(command))
+        else:
+            self.tell(api.Send(command, self.engines[0].engine if self.engines else b"", 6 * S))
+            ended = api.Ended(command, 0, b"", api.Outcome.ANSWERED, WORK, True, WORK, None, None, True)
+            self.tell(ended)
+
+    def rises(self, level: str) -> Rig:
+        """Calm, then so much that this level comes first."""
+        self.flow(12, 0.5)
+        self.flow(30, {"trimmed": 1.6, "lifeline": 8.0}[level], until=lambda: self.level != "full")
+        assert self.level == level
+        return self
+
+    def sleeps(self, seconds: float) -> Rig:
+        """The loop stands still, or the machine sleeps."""
+        self.now += int(seconds * S)
+        self.tell(api.Settled())
+        return self
+
+    @property
+    def level(self) -> str:
+        return self.keeper.standing(self.now).level
+
+    @property
+    def admitted(self) -> float:
+        return self.keeper.standing(self.now).admitted["lookup"]
+
+    def signal(self, name: str) -> float | None:
+        return next(
+            (value.value if value else None)
+            for key, value, _ in self.keeper.standing(self.now).signals
+            if key == name
+        )
+
+    def changes(self) -> list[int]:
+        return [change.at for change in self.keeper.history]
+
+
+def most_within(times: list[int], span: int) -> int:
+    return max((sum(at <= other < at + span for other in times) for at in times), default=0)
+
+
+HEALTHY = Health(0.1, 0.1, 0.1, 0)
--- /dev/null
+++ b/tests/levels/test_fleet.py
@@ -0,0 +1,40 @@
+"""Levels with the decision module on the stand-in fleet of the benchmarks, where it pays and where it
+could harm."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.fleet import REPORT, Fleet, S, Script, started
+from benchmarks.ladders import plain, shipped, with_ladder
+
+
+def flood(second: float, profile: int) -> float:
+    return 6.0 if profile == REPORT else 115.0 if 10 <= second < 70 else 55.0
+
+
+DAY = Script(80, flood, crashes=((20, (0, 1, 3), 20),))
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_flood_and_dying_engines_cost_lookups_and_no_reports(seed: int) -> None:
+    module = with_ladder(shipped(), started(seed))
+    out = Fleet(DAY, seed, module).run()
+    without = Fleet(DAY, seed, plain(started(seed))).run()
+    assert (out.lost, out.broken) == (0, 0)
+    assert out.kept(REPORT) > 0.9 > without.kept(REPORT)
+    assert out.kept() > without.kept()
+
+
+def test_cold_engines_that_return_into_high_demand_bring_no_second_fall() -> None:
+    module = with_ladder(shipped(), started(1))
+    out = Fleet(DAY, 1, module).run()
+    served = [sum(out.met[at]) / sum(out.asked[at]) for at in range(80)]
+    recovered = next(at for at in range(40, 80) if min(served[at : at + 5]) > 0.9)
+    assert recovered < 40 + 60 and min(served[recovered:70]) > 0.7
+    ups = [
+        change
+        for change in module.keeper.history
+        if change.rung and change.at > 40 * S and change.cause.value != "hold ended"
+    ]
+    assert all(change.rung < 3 for change in ups)
--- /dev/null
+++ b/tests/levels/test_keeper.py
@@ -0,0 +1,296 @@
+"""Levels of reduced service: a story for each way that they could swing, stick or come from nothing."""
+
+from __future__ import annotations
+
+import itertools
+import math
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from rig import FLEET, LADDER, MS, Rig, S, belief, ladder, most_within, started
+
+from lotusstream import interface as api
+from lotusstream.levels.gauge import Health
+from lotusstream.levels.history import Cause
+from lotusstream.levels.keeper import Beside, Hold, LevelKeeper, NewLadder, Release
+from lotusstream.policy import Gateway
+
+SHAPES: dict[str, Callable[[float], Callable[[float], float]]] = {
+    "sine": lambda period: lambda t: 1.1 + 0.3 * math.sin(2 * math.pi * t / period),
+    "on-off": lambda period: lambda t: 1.6 if t % period < period / 2 else 0.6,
+    "noise": lambda period: lambda t: 1.1 + random.Random(int(t / period)).uniform(-0.5, 0.5),
+}
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("period", [2, 5, 17, 30, 61, 120])
+def test_load_that_hovers_at_a_boundary_changes_the_level_once_in_30_s_at_most(
+    shape: str, period: int
+) -> None:
+    rig = Rig().flow(240, SHAPES[shape](period))
+    assert most_within(rig.changes(), 30 * S) <= 1
+
+
+def test_a_level_is_entered_by_its_condition_and_says_why_and_what_would_end_it() -> None:
+    rig = Rig().flow(12, 0.5).flow(12, 1.5)
+    why = rig.keeper.standing(rig.now).why
+    assert rig.level == "trimmed" and why is not None and why.cause is Cause.SIGNALS
+    assert why.condition == "load > 120% for 3s" and why.ends_when == "load < 100% for 5s"
+    assert [reading.signal for reading in why.readings] == ["load"] and why.readings[0].value > 1.2
+    assert rig.told[0].admitted == (0.6, 1.0) and rig.told[0].priorities == (None, None)
+
+
+def test_engines_that_die_together_bring_the_level_up_by_more_than_one_rung() -> None:
+    rig = Rig().flow(15, 0.8)
+    rig.engines = FLEET[:1]
+    rig.flow(5, 0.8)
+    assert [change.target for change in rig.keeper.history] == ["lifeline"]
+    assert rig.told[0].further is api.Further.UNRUN and rig.told[0].priorities == (None, 2)
+
+
+def test_lost_engines_permit_a_step_up_soon_after_another_change_and_jammed_ones_do_not() -> None:
+    def second_change(seen_to_go: bool) -> list[Cause]:
+        rig = Rig().rises("trimmed")
+        if seen_to_go:
+            ended = api.Ended(0, 0, FLEET[2].engine, api.Outcome.RESET, 0, False, None, None, None, False)
+            rig.tell(ended)
+        rig.engines = (*FLEET[:2], replace(FLEET[2], aside_until=rig.now + 600 * S), FLEET[3])
+        rig.flow(8, 1.7)
+        return [change.cause for change in rig.keeper.history][1:]
+
+    assert second_change(seen_to_go=True) == [Cause.LOST_CORES] and second_change(seen_to_go=False) == []
+
+
+def test_the_way_down_is_one_rung_at_a_time_and_admission_grows_by_and_by() -> None:
+    rig = Rig().rises("lifeline")
+    assert rig.level == "lifeline" and rig.admitted == 0.1
+    seen = []
+    for _ in range(480):
+        before = rig.admitted
+        rig.flow(0.25, 0.5)
+        seen.append(rig.admitted - before)
+    assert [change.target for change in rig.keeper.history] == ["lifeline", "trimmed", "full"]
+    assert 0 <= max(seen) < 0.05 and rig.admitted == 1.0 and rig.told[-1].full
+
+
+def test_admission_does_not_grow_without_room_and_falls_back_to_the_level_as_written() -> None:
+    rig = Rig().rises("lifeline")
+    rig.flow(60, 2.5)  # all of it is sent: the rig heeds no level, so there is never room
+    assert rig.admitted == 0.1 and rig.level == "lifeline"
+
+
+def test_capacity_that_returns_cold_counts_by_what_cold_engines_do() -> None:
+    rig = Rig().flow(15, 0.8)
+    cold = rig.now + 15 * S
+    rig.engines = tuple(replace(engine, cold_until=cold) for engine in FLEET)
+    rig.flow(1, 0.8)
+    assert rig.signal("cold") == 1.0 and (rig.signal("load") or 0) > 1.6
+    rig.flow(16, 0.8)
+    rig.engines = FLEET
+    assert (rig.flow(1, 0.8).signal("load") or 0) < 1.0
+
+
+def test_reports_that_no_engine_can_serve_do_not_cut_lookups() -> None:
+    text = LADDER.replace("enter load > 120%", "enter load(report) > 120%").replace(
+        "leave load < 100%", "leave load(report) < 100%"
+    )
+    for each in (LADDER, text):
+        rig = Rig(ladder(each)).flow(12, 0.3)
+        rig.engines = FLEET[:2]  # none of the reports' kind is left
+        rig.flow(30, lambda t: 3.0, profile=1, shed=1.0)
+        assert rig.signal("load(report)") is None and rig.signal("load") == 0.0 and not rig.changes()
+
+
+def test_no_traffic_ends_a_level_and_unknown_shares_do_not() -> None:
+    rig = Rig().rises("trimmed")
+    assert rig.level == "trimmed"
+    rig.flow(20, 0.0)
+    assert rig.signal("late") is None and rig.signal("load") == 0.0
+    assert rig.flow(30, 0.0).level == "full" and rig.admitted == 1.0
+
+
+@pytest.mark.parametrize("seconds", [3, 60, 3600])
+def test_a_loop_that_stood_still_or_a_machine_that_slept_brings_no_level(seconds: float) -> None:
+    rig = Rig().flow(12, 0.5).flow(2.5, 3.0)  # not quite long enough for any level
+    rig.sleeps(seconds)
+    assert not rig.changes()
+    rig.flow(0.5, 0.0)
+    assert not rig.changes() and (seconds < 10 or rig.signal("load") is None)
+
+
+def test_beliefs_that_have_grown_old_say_nothing() -> None:
+    rig = Rig().flow(12, 0.5)
+    for _ in range(20):
+        rig.now += 250 * MS
+        rig.keeper.handle(rig.now, api.Settled())  # nobody answers what it asks
+    assert rig.signal("load") is None and rig.signal("ready") is None
+
+
+def test_the_gateways_own_health_is_a_signal_while_it_is_fresh() -> None:
+    rig = Rig()
+    rig.tell(Health(0.9, 0.5, None, 20 * MS))
+    rig.flow(1, 0.1)
+    assert (rig.signal("core"), rig.signal("descriptors"), rig.signal("stall")) == (0.9, None, 20 * MS)
+    assert rig.flow(10, 0.1).signal("core") is None
+
+
+def test_a_reload_keeps_the_level_by_name_by_its_former_name_or_by_its_height() -> None:
+    for text, level in (
+        (LADDER, "lifeline"),
+        (LADDER.replace("level lifeline", "level last-line\n    formerly lifeline"), "last-line"),
+        (LADDER[: LADDER.index("  level lifeline")] + "end\n", "trimmed"),
+    ):
+        rig = Rig().rises("lifeline")
+        assert rig.level == "lifeline"
+        rig.tell(Hold("lifeline", 600 * S))
+        rig.tell(NewLadder(ladder(text)))
+        held = rig.keeper.standing(rig.now).held_until
+        assert rig.level == level and (held is None) == (level == "trimmed")
+        assert list(rig.keeper.history)[-1].cause is Cause.RELOAD
+        rig.flow(5, 1.7)
+        assert rig.level == level  # no change follows a change
+
+
+def test_a_hold_by_hand_lasts_its_time_and_the_signals_decide_from_there() -> None:
+    rig = Rig().flow(12, 0.3)
+    rig.tell(Hold("lifeline", 60 * S))
+    assert rig.level == "lifeline" and rig.admitted == 0.1
+    rig.flow(59, 0.3)
+    assert rig.level == "lifeline" and rig.admitted == 0.1  # as written: it does not grow
+    rig.flow(3, 0.3)
+    assert rig.keeper.standing(rig.now).held_until is None and rig.level == "lifeline"
+    rig.flow(100, 0.3)
+    assert [change.cause for change in rig.keeper.history] == [
+        Cause.HAND, Cause.HOLD_ENDED, Cause.SIGNALS, Cause.SIGNALS,
+    ]  # fmt: skip
+    assert rig.level == "full"
+
+
+def test_full_service_can_be_held_against_the_signals_and_released() -> None:
+    rig = Rig().flow(12, 0.5)
+    rig.tell(Hold("full", 3600 * S))
+    assert rig.flow(60, 3.0).level == "full"
+    rig.tell(Release())
+    assert rig.flow(40, 3.0).level == "lifeline"
+
+
+@pytest.mark.parametrize("hold", [Hold("nosuch", S), Hold("trimmed", 0), Hold("trimmed", 25 * 3600 * S)])
+def test_a_hold_that_makes_no_sense_changes_nothing(hold: Hold) -> None:
+    rig = Rig().flow(12, 0.5)
+    assert rig.keeper.refuses(hold) and not rig.keeper.refuses(Hold("trimmed", S))
+    rig.tell(hold)
+    assert rig.level == "full" and not rig.changes()
+
+
+def test_a_restart_in_mid_overload_begins_at_the_level_told() -> None:
+    rig = Rig(ladder(LADDER.replace("ladder\n", "ladder\n  start trimmed for 20s\n")))
+    rig.flow(1, 1.5)
+    assert rig.level == "trimmed" and rig.told[0].admitted == (0.6, 1.0)
+    rig.flow(25, 1.5)
+    assert rig.level == "trimmed"
+    assert rig.flow(120, 0.3).level == "full"
+
+
+def test_a_planned_stop_keeps_the_level_as_it_is() -> None:
+    rig = Rig().rises("trimmed")
+    told = len(rig.told)
+    rig.tell(api.Stopping(rig.now + 3 * S))
+    rig.flow(60, 0.0)
+    assert rig.level == "trimmed" and len(rig.told) == told and rig.keeper.standing(rig.now).stopping
+
+
+def test_one_clients_flood_for_a_moment_is_no_level_and_a_lasting_one_leaves_reports_alone() -> None:
+    rig = Rig().flow(20, 0.5).flow(0.5, 6.0).flow(20, 0.5)
+    assert not rig.changes()
+    rig.flow(20, 8.0)
+    assert rig.level == "lifeline" and all(told.admitted[1] == 1.0 for told in rig.told)
+
+
+def test_sixty_gateways_that_see_the_same_do_not_move_as_one() -> None:
+    rigs = [Rig(seed=seed) for seed in range(60)]
+    for rig in rigs:
+        rig.rises("trimmed").flow(60, 0.3)
+    for which in (0, 1):
+        moments = Counter(rig.changes()[which] for rig in rigs)
+        assert len(moments) > 5 and max(moments.values()) <= 20
+    assert len({rig.told[-2].admitted for rig in rigs}) > 20
+
+
+def test_a_keeper_that_fails_leaves_the_module_at_full_service(monkeypatch: pytest.MonkeyPatch) -> None:
+    beside = Beside(Gateway().handle, LevelKeeper(ladder(), started(), ("lookup", "report")))
+    beside.handle(S, started())
+    beside.handle(S, Hold("lifeline", 600 * S))
+    refused = [beside.handle(S, api.Arrived(n, 0, WORK_HINT, None, 6 * S, 1, None)) for n in range(20)]
+    assert any(isinstance(action, api.Shed) and action.reduced for actions in refused for action in actions)
+    monkeypatch.setattr(beside.keeper._gauge, "saw", lambda *_: 1 / 0)
+    beside.handle(2 * S, api.Arrived(90, 0, WORK_HINT, None, 6 * S, 1, None))
+    assert isinstance(beside.keeper.failed, ZeroDivisionError)
+    later = [
+        beside.handle(2 * S, api.Arrived(n, 0, WORK_HINT, None, 6 * S, 1, None)) for n in range(100, 200)
+    ]
+    assert not any(isinstance(action, api.Shed) for actions in later for action in actions)
+
+
+def test_a_module_that_began_anew_is_told_the_level_in_force() -> None:
+    keeper = LevelKeeper(ladder(), started(), ("lookup", "report"))
+    Beside(Gateway().handle, keeper).handle(S, started())
+    keeper.handle(S, Hold("lifeline", 600 * S))
+    anew = Beside(Gateway().handle, keeper)
+    anew.handle(S, started())
+    shed = [anew.handle(S, api.Arrived(n, 0, WORK_HINT, None, 6 * S, 1, None)) for n in range(50)]
+    assert sum(any(isinstance(a, api.Shed) and a.reduced for a in actions) for actions in shed) > 35
+
+
+WORK_HINT = 200 * MS
+LOADS = st.lists(st.tuples(st.integers(1, 40), st.floats(0, 4), st.integers(1, 4)), min_size=1, max_size=8)
+
+
+@settings(max_examples=25, deadline=None)
+@given(LOADS)
+def test_whatever_comes_changes_lie_apart_unless_cores_were_lost_and_calm_ends_in_full_service(
+    course: list[tuple[int, float, int]],
+) -> None:
+    rig = Rig()
+    for seconds, load, engines in course:
+        rig.engines = FLEET[:engines]
+        rig.flow(seconds, load)
+    rig.engines = FLEET
+    rig.flow(150, 0.2)
+    changes = list(rig.keeper.history)
+    for earlier, later in itertools.pairwise(changes):
+        assert later.at - earlier.at >= 30 * S or later.cause is Cause.LOST_CORES
+        assert later.rung >= earlier.rung - 1
+    assert rig.level == "full" and rig.admitted == 1.0
+
+
+@settings(max_examples=15, deadline=None)
+@given(st.floats(0, 3), st.floats(0, 3), st.integers(0, 100))
+def test_more_load_never_ends_in_a_lower_level(one: float, other: float, seed: int) -> None:
+    less, more = sorted((one, other))
+    low, high = (Rig(seed=seed).flow(100, load).keeper.standing(0).rung for load in (less, more))
+    assert low <= high
+
+
+@settings(max_examples=10, deadline=None)
+@given(LOADS, st.integers(0, 100))
+def test_the_same_events_give_the_same_levels(course: list[tuple[int, float, int]], seed: int) -> None:
+    def played() -> tuple[object, ...]:
+        rig = Rig(seed=seed)
+        for seconds, load, engines in course:
+            rig.engines = FLEET[:engines]
+            rig.flow(seconds, load)
+        return rig.told, list(rig.keeper.history)
+
+    assert played() == played()
+
+
+def test_engines_that_warm_up_belong_to_what_is_usable() -> None:
+    rig = Rig()
+    rig.engines = (belief(1), belief(2, cold_until=20 * S), belief(3, 1, aside_until=20 * S))
+    rig.flow(6, 0.1)
+    assert (rig.signal("cold"), rig.signal("aside")) == (0.5, pytest.approx(1 / 3))
--- /dev/null
+++ b/tests/operator/test_operator_file.py
@@ -0,0 +1,213 @@
+"""The operator file: what it may hold, and one clear line for each thing that is wrong with it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lotusstream import interface as api
+from lotusstream.levels.condition import All as Both
+from lotusstream.levels.condition import Any as Either
+from lotusstream.levels.condition import Compare, Condition, alternatives, overlap, truth
+from lotusstream.levels.signals import Key, Value
+from lotusstream.operator import units
+from lotusstream.operator.file import OperatorFile, fixed_differences, load_operator_file, read_operator_file
+from lotusstream.operator.problems import UnusableOperatorFile
+
+SHIPPED = Path(__file__).parents[2] / "deploy" / "operator.conf"
+S = 1_000_000
+
+
+def level(
+    name: str = "a", enter: str = "load > 120% for 5s", leave: str = "load < 90%", more: str = ""
+) -> str:
+    return f"level {name}\n enter {enter}\n leave {leave}\n {more}\nend\n"
+
+
+def ladder(*levels: str, more: str = "") -> str:
+    return f"ladder\n{more}\n{''.join(levels)}end\n"
+
+
+def problems(text: str, **profiles: api.Profile) -> list[str]:
+    with pytest.raises(UnusableOperatorFile) as caught:
+        read_operator_file(text, "f", profiles or None)
+    return [str(problem) for problem in caught.value.problems]
+
+
+def profile(benefit: float, target: int) -> api.Profile:
+    return api.Profile(target, 0.0, 6 * S, benefit, 0.0, api.Effect.REPLAYABLE, api.Scope.ALL, 0, False, None,
+                       None, False, False, 1)  # fmt: skip
+
+
+def test_the_shipped_file_is_read_whole() -> None:
+    found = load_operator_file(str(SHIPPED))
+    assert found.ladder is not None and found.control is not None and found.log is not None
+    assert [each.name for each in found.ladder.levels] == ["trimmed", "reports-first", "lifeline"]
+    assert found.ladder.levels[0].admit == {"lookup": 0.75} and found.ladder.quiet == 30 * S
+
+
+def test_an_empty_file_asks_for_nothing() -> None:
+    found = read_operator_file("\n# nothing\n\t \r\n", "f")
+    assert (found.control, found.log, found.ladder) == (None, None, None)
+
+
+def test_a_condition_reads_as_it_is_written() -> None:
+    text = ladder(
+        level(enter="(held(lookup) > 25% or late >= 10%) and load > 120% for 1.5s", leave="load < 90%")
+    )
+    found = read_operator_file(text, "f").ladder
+    assert found is not None
+    assert str(found.levels[0].enter) == "(held(lookup) > 25% or late >= 10%) and load > 120% for 1.5s"
+    assert found.levels[0].enter.dwell == 1_500_000
+
+
+BROKEN = {
+    "contrl /x": "f:1:1: 'contrl' is not known here; did you mean 'control'?",
+    "control": "f:1:8: found the end of the line; a path would do",
+    "control /x y": "f:1:12: found 'y'; the end of the line would do",
+    "control-patience 5s": "f:1:1: 'control-patience' without 'control'; name the socket: control PATH",
+    "control /x\ncontrol-patience 5": "f:2:18: '5' has none of the units us, ms, s, m, h, d; write it as in 30s or 250ms",
+    "control /x\ncontrol-clients 0": "f:2:17: found '0'; a whole number from 1 to 64 would do",
+    "log xml": "f:1:5: found 'xml'; one of console, json",
+    "log json\nlog json": "f:2:1: 'log' comes a second time; it stands on line 1",
+    "log \"json": "f:1:5: found '\"'; ",
+    "end": "f:1:1: 'end' closes nothing; remove it",
+    ladder(level())[:-1] + " x": "f:8:5: found 'x'; 'end' stands alone",
+    "ladder\n" + level(): "f:1:1: 'ladder' is not closed; 'end' would close it",
+    "ladder\nend": "f:1:1: 'ladder' has no 'level'; level: one level, mildest first",
+    "level a\nend": "f:1:1: 'level' is not known here; ",
+    ladder(level(), more="control /x"): "f:2:1: 'control' is not known inside 'ladder'; it stands at the top: is an 'end'",
+    ladder(level(enter="laod > 120%")): "f:4:8: no signal is called 'laod'; did you mean 'load'?",
+    ladder(level(enter="load > 2s")): "f:4:15: found '2s'; load is held against a share as in 80%",
+    ladder(level(enter="load > 120% fo 5s")): "f:4:20: found 'fo'; ",
+    ladder(level(enter="load > 120% and")): "f:4:23: found the end of the line; '(' or a name would do",
+    ladder(level(enter="core(lookup) > 90%")): "f:4:13: core is not told by profile; write core alone",
+    ladder("level a\n leave load < 90%\nend\n"): "f:3:1: 'level' has no 'enter'; enter: the condition",
+    ladder(level(more="admit lookup 120%")): "f:6:15: found '120%'; a share from 0% to 100% would do",
+    ladder(level(more="priority report 9")): "f:6:18: found '9'; a whole number from 0 to 3 would do",
+    ladder(level(more="further some")): "f:6:10: found 'some'; one of all, unrun, none",
+    ladder(level("full")): "f:3:1: 'full' is the name of no reduction; call the level something else",
+    ladder(level(), more="quiet 2s"): "f:2:1: quiet is shorter than the window, 10s; 10s or more",
+    ladder(level(), more="window 1ms"): "f:2:1: a window is no such time; 1s to 10m would do",
+    ladder(level(), more="start b for 5s"): "f:2:1: no level is called 'b'; one of full, a",
+    ladder(level(), more="start a 5s"): "f:2:9: found '5s'; 'for' would do",
+    ladder(level(leave="load < 118%")): "f:5:2: overlaps entering: the level would swing at load > 120% and load < 118%",
+    ladder(level(leave="late < 5% or load < 90%")): "f:5:2: overlaps entering: the level would swing at load > 120% and late",
+    ladder(level(enter="late > 100%")): "f:4:2: can't be reached: no state of the signals fulfils it; widen",
+    ladder(level(enter="load > 120% and load < 100%")): "f:4:2: can't be reached: no state of the signals fulfils it",
+    ladder(level(), level("b", "load > 110% for 2s")): "f:4:2: can't be reached: 'b' is entered wherever it is",
+    ladder(level(enter="late > 10%", leave="late < 5%")): "f:5:2: can't be fulfilled while nothing is asked",
+    ladder(level(leave="load < 90% and load > 95%")): "f:5:2: can't be fulfilled: the level would never end",
+    ladder(level(more="admit lookup 50%"), level("b", "load > 150%", "load < 90%", "admit lookup 70%")): (
+        "f:11:2: admits more of lookup than 'a' below it; admit lookup 50% or less"
+    ),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("text", BROKEN)
+def test_a_broken_file_gets_one_line_that_says_where_what_and_what_would_do(text: str) -> None:
+    found = problems(text)
+    assert len(found) == 1 and found[0].startswith(BROKEN[text]), found
+
+
+def test_all_that_is_wrong_is_told_at_once_in_the_order_of_lines() -> None:
+    text = "log xml\ncontrl /x\n" + ladder(level(enter="laod > 1%", more="admit lookup x"))
+    assert [line.split(":")[1] for line in problems(text)] == ["1", "2", "6", "8"]
+
+
+def test_a_misspelt_block_is_passed_over_whole() -> None:
+    assert len(problems("lader\n" + level() + "end\nlog json\n")) == 1
+
+
+def test_profiles_are_held_against_the_gateways_own() -> None:
+    known = {"lookup": profile(1.0, S), "report": profile(8.0, 2 * S)}
+    assert problems(ladder(level(more="admit lokup 50%")), **known)[0].startswith(
+        "f:6:2: no profile is called 'lokup'"
+    )
+    dear = ladder(level(more="admit report 50%"))
+    assert "reduces report before lookup" in problems(dear, **known)[0]
+    meant = ladder(level(more="admit report 50%\n despite-benefit"))
+    assert read_operator_file(meant, "f", known).ladder is not None
+
+
+@pytest.mark.parametrize(
+    ("raw", "says"),
+    [(b"log json\n  \xff", ":2:3: a byte that is not UTF-8"), (b"#" * (2 << 20), "over 1 MB")],
+)
+def test_a_file_that_is_no_text_is_told_as_such(tmp_path: Path, raw: bytes, says: str) -> None:
+    path = tmp_path / "f"
+    path.write_bytes(raw)
+    for each in (path, tmp_path):
+        with pytest.raises(UnusableOperatorFile) as caught:
+            load_operator_file(str(each))
+        assert each is tmp_path or says in str(caught.value)
+
+
+def test_what_cannot_change_while_running_is_named() -> None:
+    def read(text: str) -> OperatorFile:
+        return read_operator_file(text, "f")
+
+    old = read("control /x\nlog json\n" + ladder(level()))
+    assert (
+        fixed_differences(old, read("control /x\nlog json debug\n" + ladder(level(leave="load < 80%")))) == []
+    )
+    named = fixed_differences(old, read("control /y\nlog console\n" + ladder(level(), more="window 5s")))
+    assert [each.split()[0] for each in named] == ["control", "log", "window"]
+
+
+LINES = st.sampled_from(
+    ["ladder", "end", "level a", "level b", "enter load > 120% for 5s", "leave load < 90%", "enter (", "admit x 5%",
+     "log json", "control /x", 'control "', "start a for 5s", "ramp 5s while used < 10%", "quiet 30s", "# c", "\x00"]
+)  # fmt: skip
+
+
+@given(st.lists(LINES | st.text(max_size=20), max_size=30).map("\n".join))
+def test_whatever_a_file_holds_it_is_read_or_told_what_is_wrong(text: str) -> None:
+    try:
+        read_operator_file(text, "f")
+    except UnusableOperatorFile as error:
+        assert error.problems and all(problem.line >= 1 and problem.column >= 1 for problem in error.problems)
+
+
+@given(st.integers(1, 10**15))
+def test_a_time_that_is_written_reads_the_same(span: int) -> None:
+    assert units.parse_time(units.write_time(span)) == span
+
+
+KEYS: list[Key] = [("load", None), ("held", None), ("late", None)]
+COMPARISONS = st.builds(
+    Compare, st.sampled_from(KEYS), st.booleans(), st.sampled_from([0.0, 0.5, 1.0]), st.booleans()
+)
+EXPRESSIONS = st.recursive(
+    COMPARISONS, lambda inner: st.lists(inner, min_size=1, max_size=3).flatmap(
+        lambda parts: st.sampled_from([Both(tuple(parts)), Either(tuple(parts))])), max_leaves=6,
+)  # fmt: skip
+STATES = st.fixed_dictionaries({key: st.sampled_from([0.0, 0.25, 0.5, 0.75, 1.0]) for key in KEYS})
+
+
+@given(EXPRESSIONS, EXPRESSIONS, STATES)
+def test_a_ladder_that_is_found_sound_has_no_state_that_enters_and_leaves(
+    enter: Condition, leave: Condition, state: dict[Key, float]
+) -> None:
+    values = {key: Value(value, 1) for key, value in state.items()}
+    both = truth(enter, values) and truth(leave, values)  # type: ignore[arg-type]
+    assert not (both and overlap(enter, leave) is None)  # type: ignore[arg-type]
+
+
+@given(EXPRESSIONS, STATES)
+def test_a_condition_holds_where_one_of_its_alternatives_does(
+    what: Condition, state: dict[Key, float]
+) -> None:
+    values = {key: Value(value, 1) for key, value in state.items()}
+    forms = alternatives(what)  # type: ignore[arg-type]
+    assert truth(what, values) == any(all(each.truth(values) for each in form) for form in forms)  # type: ignore[arg-type]
+
+
+def test_an_unknown_signal_makes_nothing_true_and_spoils_nothing_that_is() -> None:
+    load, late = Compare(("load", None), True, 1.0), Compare(("late", None), True, 0.1)
+    values = {("load", None): Value(2.0, 5), ("late", None): None}
+    assert truth(Either((late, load)), values) is True and truth(Both((late, load)), values) is None
+    assert truth(Both((late, load.opposite())), values) is False
