--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -18,7 +18,7 @@
 from lotusstream.net.connection import US
 from lotusstream.net.control import ControlServer, Manners, Refused
 from lotusstream.net.decider import Decider, Describe, Tell, View
-from lotusstream.observe.own import OwnUseReader
+from lotusstream.observe.own import OwnUse, OwnUseReader
 from lotusstream.operator.file import OperatorFile
 from lotusstream.protocol import control as wire
 
@@ -43,6 +43,7 @@
         self._own, self._clock, self._supervisor = own, clock, supervisor
         self._started = clock.now()
         self._logged = 0
+        self._used: tuple[float, OwnUse] | None = None
 
     @property
     def leveled(self) -> bool:
@@ -55,16 +56,20 @@
         keeper = self._keeper
         assert keeper is not None
         pause = keeper.every / US
-        use, looked = self._own.read(), time.monotonic()
         while True:
             before = time.monotonic()
             await asyncio.sleep(pause)
             stall = int((time.monotonic() - before - pause) * US)
-            if time.monotonic() - looked >= OWN_EVERY:
-                use, looked = self._own.read(), time.monotonic()
+            use = self._use()
             self._decider.post(Tell(Health(use.core, use.memory, use.descriptors, max(0, stall))))
             self._log_changes(keeper)
 
+    def _use(self) -> OwnUse:
+        """Read now and then: the core's share is that since the last reading."""
+        if self._used is None or time.monotonic() - self._used[0] >= OWN_EVERY:
+            self._used = (time.monotonic(), self._own.read())
+        return self._used[1]
+
     def _log_changes(self, keeper: LevelKeeper) -> None:
         new = keeper.history.count - self._logged
         self._logged = keeper.history.count
@@ -124,7 +129,6 @@
         believed, now = view.believed, self._clock.now()
         ready = [engine for engine in believed.engines if engine.state is api.State.READY]
         usable = [engine for engine in ready if engine.aside_until is None]
-        use = self._own.read()
         return {
             "gateway": self._name,
             "version": __version__,
@@ -141,7 +145,7 @@
             "share": believed.share,
             "pace": believed.calm,
             "strained": believed.strained,
-            "own": dataclasses.asdict(use),
+            "own": dataclasses.asdict(self._use()),
             "operator_file": self.file.path,
         }
 
