--- a/tests/cells/test_trie.py
+++ b/tests/cells/test_trie.py
@@ -15,7 +15,8 @@
     trie = NameTrie([("uni-*", "prefix"), ("uni-perth", "exact"), ("uni-p*h", "pattern"), ("*", "rest"),
                      ("*-library", "ending"), ("uni-perth-*", "longer"), ("uni-????", "short")])  # fmt: skip
     told = {name: trie.find(name) for name in
-            ("uni-perth", "uni-perth-east", "uni-patch", "uni-bath", "uni-x", "state-library", "", "uni")}  # fmt: skip
+            ("uni-perth", "uni-perth-east", "uni-patch", "uni-bath", "uni-x", "state-library", "",
+             "uni")}  # fmt: skip
     assert told == {
         "uni-perth": "exact", "uni-perth-east": "longer", "uni-patch": "pattern", "uni-bath": "short",
         "uni-x": "prefix", "state-library": "ending", "": "rest", "uni": "rest",
