The module judges pools of engines apart and confines commands to their cell

Confined tells the engines of a cell and the pool in which they are judged; Arrived names the cell. Pace, pressure, room and homes go by pool; without cells there is one pool.

--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -174,6 +174,7 @@
     client_timeout: int
     group: int
     key: int | None
+    cell: int | None = None  # may go nowhere else; None: anywhere
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,6 +249,17 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Confined:
+    """From now on commands of this cell may go to these engines only, at every send. `pool`: the cells of
+    one pool are judged together (pressure, pace, bounds), those of others apart. An engine belongs to one
+    pool, the last that it was told to be in."""
+
+    cell: int
+    pool: int
+    engines: frozenset[EngineId]
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What does the module believe? Changes nothing; answered by Believed."""
@@ -277,6 +289,7 @@
     | Probed
     | Stopping
     | Reduced
+    | Confined
     | Asked
     | Settled
 )
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -15,7 +15,7 @@
 from lotusstream import interface as api
 from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, State
 from lotusstream.ring import Ring
-from lotusstream.state import Backend, Command, Try
+from lotusstream.state import Backend, Command, Pool, Try
 
 SAMPLE, BUCKETS, ENOUGH = 5, 16, 16  # k of SMF; a ring's whole buckets; answers that tell a pace
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
@@ -65,8 +65,9 @@
         self.rests: dict[int, int] = {}
         self.look_at: int | None = None  # when time alone may change something
         self.woken_for: int | None = None
-        self.out = 0  # threads of this gateway on all engines
-        self.strained, self.calm, self.best, self.room = False, 1.0, math.inf, 0.0
+        self.pools: dict[int | None, Pool] = {}  # by name; without cells all engines are of one
+        self.cells: dict[int, api.Confined] = {}
+        self.pool_of: dict[api.EngineId, int] = {}
         self.homes: dict[object, list[Backend]] = {}
         self.groups, self.earlier, self.epoch = Counter[int](), Counter[int](), 0  # commands per group
         self.draws, self.looked_at, self.stop_by = 0, 0, NEVER
@@ -75,7 +76,7 @@
             api.Started: self._start, api.EngineNews: self._learn_engines, api.Arrived: self._take,
             api.Ended: self._end_try, api.Noted: self._note, api.Probed: self._probed, api.Woken: self._woken,
             api.ClientGone: self._client_gone, api.Stopping: self._stop, api.Settled: self._settle,
-            api.Reduced: self._reduce, api.Asked: self._tell_beliefs,
+            api.Reduced: self._reduce, api.Asked: self._tell_beliefs, api.Confined: self._confine,
         }  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -99,7 +100,7 @@
         self.shortest = min(profile.target for profile in event.profiles)
         self.usual = [Usual(profile) for profile in event.profiles]
         self.even = self.share = 1.0 / event.gateways
-        self.in_hand, self.paces = (Ring(many * self.shortest, BUCKETS) for many in (4, 8))  # own, all
+        self.in_hand, self.pools[None] = Ring(4 * self.shortest, BUCKETS), self._new_pool()
         self.unprobed, self.probed = 0, int(self._chance() * PROBE_EVERY)
         self.look_every = max(event.period, self.shortest // 20)
         self.taken, self.extras = (Ring(self.duties.extra_span, BUCKETS) for _ in range(2))
@@ -118,7 +119,8 @@
             known = self.backends.get(entry.id)
             if known is None or (known.entry.started != entry.started and entry.state is not State.GONE):
                 cores = self.given.kinds[entry.kind].cores if entry.kind < len(self.given.kinds) else 1.0
-                fresh = Backend(entry, cores, Ring(8 * self.shortest, BUCKETS), OPEN_WIDTH, CREDIT_START)
+                fresh = Backend(entry, self.pools[None], cores, Ring(8 * self.shortest, BUCKETS), OPEN_WIDTH,
+                                CREDIT_START)  # fmt: skip
                 fresh.chill(entry.started or None, self.now, self._chance())
                 if known is not None:
                     fresh.out, fresh.threads = known.out, known.threads
@@ -129,8 +131,29 @@
         self.backends = {engine: be for engine, be in self.backends.items()
                          if be.out or be.entry.state is not State.GONE}  # fmt: skip
         self.ready = [be for be in self.backends.values() if be.entry.state is State.READY]
+        self._regroup()
         self._share_out()
 
+    def _new_pool(self) -> Pool:
+        return Pool(Ring(8 * self.shortest, BUCKETS))
+
+    def _confine(self, event: api.Confined) -> None:
+        """Guards the tenants of one cell against what those of another do to their engines."""
+        self.cells[event.cell] = event
+        self.pools.setdefault(event.pool, self._new_pool())
+        self.pool_of = {engine: cell.pool for cell in self.cells.values() for engine in cell.engines}
+        self._regroup()
+        self._share_out()
+
+    def _regroup(self) -> None:
+        for pool in self.pools.values():
+            pool.ready, pool.out = [], 0
+        for be in self.backends.values():
+            be.pool = self.pools[self.pool_of.get(be.entry.id)]
+            be.pool.out += be.threads
+            if be.entry.state is State.READY:
+                be.pool.ready.append(be)
+
     def _take(self, event: api.Arrived) -> None:
         profile, usual = self.given.profiles[event.profile], self.usual[event.profile]
         work = usual.estimate(self.now, event.hint)
@@ -138,9 +161,11 @@
         stretch = profile.stretch * work / profile.threads if event.hint else 0.0  # most lie under the mean
         due = min(int(self.now + profile.target + stretch), ends_by)
         weight = usual.work.mean(self.now, 2 * usual.guess, 4.0)
+        cell = self.cells.get(event.cell) if event.cell is not None else None
         cmd = self.open[event.command] = self.waiting[event.command] = Command(
             event.command, event.profile, profile, event.group, event.key if profile.in_order else None,
-            event.hint, work, weight, due, ends_by, self._lot())  # fmt: skip
+            event.hint, work, weight, due, ends_by, self._lot(),
+            self.pools[cell.pool if cell else None], event.cell)  # fmt: skip
         if cmd.key is not None:
             self.turns.setdefault(cmd.key, deque()).append(cmd)
         self.taken.add(self.now, 0.0)
@@ -182,7 +207,9 @@
                               len(be.out), len(be.loads), be.pace, be.pressed, be.slice, be.credit,
                               be.failures, be.aside_until, self._cold_until(be))
                    for be in self.backends.values()]  # fmt: skip
-        self.actions.append(api.Believed(tuple(beliefs), self.share, self.calm, self.strained,
+        calm, strained = (pick(getattr(pool, name) for pool in self.pools.values())
+                          for pick, name in ((max, "calm"), (any, "strained")))  # fmt: skip
+        self.actions.append(api.Believed(tuple(beliefs), self.share, calm, strained,
                                          len(self.open), len(self.waiting)))  # fmt: skip
 
     def _woken(self, event: api.Woken) -> None:
@@ -215,7 +242,7 @@
         held = be.out.pop(event.command << 8 | event.send, None) if be else None
         if be and held:
             be.threads -= held[0].profile.threads
-            self.out -= held[0].profile.threads
+            be.pool.out -= held[0].profile.threads
             self._judge(be, *held, event)
         cmd = held[0] if held else self.open.get(event.command)
         if cmd is None or event.send >= len(cmd.tries):
@@ -242,7 +269,7 @@
             if be.aside_until and be.lost and a_try.at >= be.aside_at:  # may have restarted, unlisted
                 be.chill(self.now, self.now, self._chance())
             be.failures, be.aside_until, be.lost = 0, None, False
-            work = event.work or event.latency * cmd.profile.threads * min(self.best, be.pace) / be.pace
+            work = event.work or event.latency * cmd.profile.threads * min(be.pool.best, be.pace) / be.pace
             if not a_try.stalled:
                 self._learn_pace(be, cmd, event.latency, (event.work or cmd.work) / cmd.profile.threads)
             if event.work or not a_try.stalled:
@@ -265,7 +292,7 @@
 
     def _learn_pace(self, be: Backend, cmd: Command, latency: int, alone: float) -> None:
         pace = math.log(max(latency, 1) / max(alone, 1.0))
-        for ring in (be.paces, self.paces, self.usual[cmd.kind].paces):
+        for ring in (be.paces, be.pool.paces, self.usual[cmd.kind].paces):
             ring.add(self.now, pace)
 
     # Endings
@@ -325,6 +352,8 @@
 
     def _allowed_there(self, cmd: Command, be: Backend) -> bool:
         profile, entry = cmd.profile, be.entry
+        if cmd.cell is not None and not (cmd.cell in self.cells and entry.id in self.cells[cmd.cell].engines):
+            return False
         if not profile.open_to(entry) or (cmd.tries and (be.credit < 1 or not self._may_send_again(cmd))):
             return False
         if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
@@ -354,33 +383,38 @@
     def _fits(self, threads: int, be: Backend) -> bool:
         """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
         guards against all that they can't take being poured on it at once."""
-        if not (be.pressed or self.strained) or be.threads + threads <= be.slice:
+        pool = be.pool
+        if not (be.pressed or pool.strained) or be.threads + threads <= be.slice:
             return True
         thin = be.slice < threads  # than one command: one while none runs, and all slices are one pool
-        if thin and not self.out:
+        if thin and not pool.out:
             return True
-        if threads == 1 or self.room < 1:
-            return thin and not be.threads and self.room >= 1
+        if threads == 1 or pool.room < 1:
+            return thin and not be.threads and pool.room >= 1
         # guards wide commands against small ones that take each thread as it falls free
-        alike = sum(cmd.profile.threads for near in (self.ready if thin else [be])
+        alike = sum(cmd.profile.threads for near in (pool.ready if thin else [be])
                     for cmd, _ in near.out.values() if cmd.profile.threads >= threads)  # fmt: skip
-        return alike + threads <= max(self.room + self.out if thin else be.slice, threads)
+        return alike + threads <= max(pool.room + pool.out if thin else be.slice, threads)
 
     def _gauge(self) -> None:
+        for pool in self.pools.values():
+            self._gauge_pool(pool)
+
+    def _gauge_pool(self, pool: Pool) -> None:
         """Each engine's pace and pressure. Few answers of an engine weigh less than those of all."""
-        self.calm = max(1.0, math.exp(self.paces.latest(self.now, 0.0, ENOUGH / 8, ENOUGH)))
-        best, calm = max(1.0, min(self.best, self.calm)), math.log(self.calm)
-        for be in self.ready:
+        pool.calm = max(1.0, math.exp(pool.paces.latest(self.now, 0.0, ENOUGH / 8, ENOUGH)))
+        best, calm = max(1.0, min(pool.best, pool.calm)), math.log(pool.calm)
+        for be in pool.ready:
             be.pace = math.exp(be.paces.latest(self.now, calm, ENOUGH / 4, ENOUGH))
             refused = be.full_at is not None and self.now - be.full_at < self.shortest
             full = be.threads >= max(1.0, OPEN_WIDTH * be.cores * self.share)
             be.pressed = (refused or (full and max(be.pace, be.stuck) > NEAR_BEST * best)
                           or max(be.pace, be.overdue) > PRESSURE * best)  # fmt: skip
             be.slice = be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
-        cores = sum([be.cores for be in self.ready])
-        self.strained = sum([be.cores for be in self.ready if be.pressed]) > STRAINED * cores
-        self.room = sum([be.slice for be in self.ready]) - self.out  # of all slices together
-        self.others = (1 / self.share - 1) * self.out / max(1.0, cores)  # threads a core, as far as is known
+        cores = sum([be.cores for be in pool.ready])
+        pool.strained = sum([be.cores for be in pool.ready if be.pressed]) > STRAINED * cores
+        pool.room = sum([be.slice for be in pool.ready]) - pool.out  # of all slices together
+        pool.others = (1 / self.share - 1) * pool.out / max(1.0, cores)  # threads a core, as far as is known
 
     def _added_stall(self, cmd: Command, be: Backend) -> float:
         """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
@@ -394,7 +428,7 @@
                 stall = max(ends - self.now, (self.now - began) / 4)
         if profile.loads:
             readers = sum(other.group == cmd.group and other.profile.waits for other, _ in be.out.values())
-            others = self.share < 0.5 and be in self._homes(cmd.group, profile)  # their readers
+            others = self.share < 0.5 and be in self._homes(cmd)  # their readers
             stall += (readers + others) * cmd.work / profile.threads
         return stall
 
@@ -418,13 +452,18 @@
         lot = (zlib.crc32(be.entry.id, seed) + 1) / 2**32
         return -math.log(lot) / (be.cores if profile.bound else be.spare)
 
-    def _homes(self, group: int, profile: api.Profile) -> list[Backend]:
+    def _homes(self, cmd: Command) -> list[Backend]:
         """The engines where all gateways run a group, agreed without a word by hashing both: more of them
         for a group that draws more of the commands."""
-        name = (group, profile.zones, profile.kinds)
+        group, profile = cmd.group, cmd.profile
+        name = (group, profile.zones, profile.kinds, cmd.cell)
         if name not in self.homes:
             seed = zlib.crc32(group.to_bytes(8, "little", signed=True))
-            fit = [be for be in self.ready if profile.open_to(be.entry)]
+            inside = (
+                None if cmd.cell is None else self.cells[cmd.cell].engines if cmd.cell in self.cells else ()
+            )
+            fit = [be for be in self.ready if profile.open_to(be.entry)
+                   and (inside is None or be.entry.id in inside)]  # fmt: skip
             self.homes[name] = sorted(fit, key=lambda be: (self._draw(seed, profile, be), be.entry.id))
         seen = self.groups[group] + self.earlier[group]
         part = (seen + 1) / (self.groups.total() + self.earlier.total() + 2 * len(self.ready))
@@ -434,15 +473,15 @@
         """The least stall, then the choice among equals: crowding, the engine's speed, and whether it keeps
         the group warm; then the home."""
         options = []
-        homes = self._homes(cmd.group, cmd.profile) if self.share < 0.5 else []
+        homes = self._homes(cmd) if self.share < 0.5 else []
         fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
         for be in [be for be in fit if be not in cmd.erred] or fit:
-            crowd = self.others + (be.threads + cmd.profile.threads) / be.cores
+            crowd = be.pool.others + (be.threads + cmd.profile.threads) / be.cores
             crowd /= self.duties.cold_from if self._cold(be) else 1.0
             warm = be in homes if homes else cmd.group in be.warm
             home = (-float(be.warm[cmd.group]) if warm and cmd.group in be.warm
                     else self._draw(cmd.lot, cmd.profile, be))  # fmt: skip
-            cost = max(1.0, crowd) * max(1.0, be.pace / self.calm) * (WARM_WORTH if warm else 1.0)
+            cost = max(1.0, crowd) * max(1.0, be.pace / be.pool.calm) * (WARM_WORTH if warm else 1.0)
             options.append((self._added_stall(cmd, be), cost, home, be))
         return min(options, key=lambda option: option[:3], default=None)
 
@@ -500,8 +539,8 @@
         cmd.tries.append(a_try)
         be.heard = be.heard if be.out else self.now
         be.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
-        be.threads, self.room = be.threads + cmd.profile.threads, self.room - cmd.profile.threads
-        self.out += cmd.profile.threads
+        be.threads += cmd.profile.threads
+        be.pool.room, be.pool.out = be.pool.room - cmd.profile.threads, be.pool.out + cmd.profile.threads
         be.ran(cmd.group, self.now, WARM_GROUPS)
         if be.pushed is not None:
             be.pushed.add(self.now, cmd.weight)
@@ -517,14 +556,15 @@
 
     def _look(self) -> None:
         """What time alone brings: ends of patience, silence and the engines' widths."""
-        if self.paces.total(self.now)[1] >= ENOUGH:
-            self.best = min(self.calm, self.best * 1.001)
+        for pool in self.pools.values():
+            if pool.paces.total(self.now)[1] >= ENOUGH:
+                pool.best = min(pool.calm, pool.best * 1.001)
         for be in self.ready:
             self._adjust(be)
         self.looked_at = self.now
         for cmd in list(self.open.values()):
-            fresh = cmd.work / cmd.profile.threads * (self.calm if self.strained else 1.0)
-            useful = cmd.due if self.strained else cmd.ends_by  # late answers pay where there is room
+            fresh = cmd.work / cmd.profile.threads * (cmd.pool.calm if cmd.pool.strained else 1.0)
+            useful = cmd.due if cmd.pool.strained else cmd.ends_by  # late answers pay where there is room
             hopeless = cmd.id in self.waiting and self.now + fresh > useful
             if hopeless or self.now + 2 * self.look_every >= cmd.ends_by:
                 self._give_up(cmd)
@@ -536,18 +576,18 @@
             self._plan(min(self.now + wait, cmd.ends_by - 2 * self.look_every))
 
     def _adjust(self, be: Backend) -> None:
-        be.overdue = be.stuck = self.calm
+        be.overdue = be.stuck = be.pool.calm
         if be.out:  # guards against an engine so crowded, or full of what stands still, that it tells nothing
             late = [(min(RUNAWAY * t.alone, self.now - t.at) / t.alone * cmd.profile.threads, t.stalled)
                     for cmd, t in be.out.values()]  # fmt: skip
             be.overdue, be.stuck = ((sum([part for part, stalled in late if count or not stalled])
-                + be.cores * self.calm) / (be.threads + be.cores) for count in (False, True))  # fmt: skip
+                + be.cores * be.pool.calm) / (be.threads + be.cores) for count in (False, True))  # fmt: skip
             if be.aside_until is None and self._silent(be):
                 self._set_aside(be)
         step = 2.0 ** min(1.0, (self.now - self.looked_at) / self.shortest)  # twofold in the shortest target
-        if be.pace < NEAR_BEST * self.best:
+        if be.pace < NEAR_BEST * be.pool.best:
             be.width = min(OPEN_WIDTH, be.width * step)
-        elif be.pace > PRESSURE * self.best:
+        elif be.pace > PRESSURE * be.pool.best:
             be.width = max(LEAST_WIDTH, be.width / step)
 
     def _silent(self, be: Backend) -> bool:
@@ -562,7 +602,7 @@
         if a_try.doomed or not (self.allowed.cancelling and self._may_send_again(cmd)):
             return
         age, alone = self.now - a_try.at, cmd.work / profile.threads
-        fresh = alone * max(self.calm, math.exp(self.usual[cmd.kind].paces.mean(self.now, 0.0, 1.0)))
+        fresh = alone * max(be.pool.calm, math.exp(self.usual[cmd.kind].paces.mean(self.now, 0.0, 1.0)))
         left = max(a_try.finish - self.now, age / 4) if a_try.told else float(age)
         total = age + left if a_try.told else 0 if self.given.note_every else age
         late = self.now + left > max(cmd.due, self.now + 2 * fresh)
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from lotusstream import interface as api
@@ -37,6 +38,8 @@
     due: int
     ends_by: int
     lot: int  # drawn once: decides among equals
+    pool: Pool  # judged with it
+    cell: int | None = None
     tries: list[Try] = field(default_factory=list)
     overlong: int = 0  # sends given up as bad plans
 
@@ -55,10 +58,22 @@
         return [a_try for a_try in self.tries if a_try.outcome not in api.PROVES_NOT_RUN]
 
 
+class Pool:
+    """Engines that are judged together: all of them, or those of cells."""
+
+    def __init__(self, paces: Ring) -> None:
+        self.ready: list[Backend] = []
+        self.paces, self.out = paces, 0  # threads of this gateway there
+        self.strained, self.calm, self.best, self.room, self.others = False, 1.0, math.inf, 0.0, 0.0
+
+
 class Backend:
     """An engine as this gateway sees it."""
 
-    def __init__(self, entry: api.Engine, cores: float, paces: Ring, width: float, credit: float) -> None:
+    def __init__(
+        self, entry: api.Engine, pool: Pool, cores: float, paces: Ring, width: float, credit: float
+    ) -> None:
+        self.pool = pool
         self.entry, self.cores, self.spare = entry, cores, cores  # spare: left by profiles bound to it
         self.threads, self.out = 0, dict[int, tuple[Command, Try]]()  # by command and send
         self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
