--- /dev/null
+++ b/lotusstream/cells/keeper.py
@@ -0,0 +1,454 @@
+"""Confines commands to their tenants' cells, and moves tenants between cells. No I/O, no clock.
+
+It stands in front of the decision module: a command is told with the number of its cell, engines of a cell
+are told when they change. What a move has to remember comes out as `Write` and is acted on when `Written`
+comes back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field, replace
+
+from lotusstream import interface as api
+from lotusstream.cells import move as moving
+from lotusstream.cells.move import CannotMove, Move, Step, Terms
+from lotusstream.cells.plan import Cell, Empty, Members, Plan, engines_for, members
+from lotusstream.interface import State
+
+FENCE = 0  # the number of no cell: nothing may serve it
+
+
+@dataclass(frozen=True, slots=True)
+class MoveTenant:
+    tenant: str
+    target: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class AbortMove:
+    tenant: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The step is on the disk."""
+
+    move: Move
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """It is not, and will not be found there."""
+
+    move: Move
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class NewPlan:
+    """Read anew while running. What was moved by hand stays moved where its cell is still there."""
+
+    plan: Plan
+
+
+CellEvent = MoveTenant | AbortMove | Written | NotWritten | NewPlan
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """To be written down before it is acted on."""
+
+    move: Move
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """A wish by hand that is not carried out, and why."""
+
+    tenant: str
+    why: str
+
+
+@dataclass(slots=True)
+class Confinement:
+    """A cell, or a tenant's shard of one, as the module knows it."""
+
+    number: int
+    cell: str
+    tenant: str | None  # where it is a shard
+    engines: frozenset[api.EngineId] = frozenset()
+    users: int = 0
+
+
+@dataclass(slots=True)
+class OpenCommand:
+    tenant: str | None
+    profile: int
+    taken: int
+    version: int
+    place: Confinement | None  # None: behind a fence
+    sent: bool = False
+    over: bool = False
+    out: set[int] = field(default_factory=set)
+
+
+Told = list[api.Event | Write | Refused]
+
+
+class CellKeeper:
+    """`arrived` gives a command its cell; `handle` takes all else that happens."""
+
+    def __init__(
+        self, plan: Plan, terms: Terms, profiles: tuple[api.Profile, ...], moves: Iterable[Move] = ()
+    ) -> None:
+        """`moves`: as the log has them, from `recovered`."""
+        self.plan, self._terms, self._profiles = plan, terms, profiles
+        self._listed: dict[api.EngineId, api.Engine] = {}
+        self._members = Members({}, (), ())
+        self._pools = {cell.name: at for at, cell in enumerate(plan.cells)}
+        self._places: dict[tuple[str, str | None], Confinement] = {}
+        self._numbers = FENCE
+        self._open: dict[int, OpenCommand] = {}
+        self._sends: dict[int, int] = {}
+        self._by_tenant: dict[str, set[int]] = {}
+        self.moves: dict[str, Move] = {}
+        self._writing: dict[str, Move] = {}
+        for each in moves:
+            self.moves[each.tenant] = each
+            if each.step is Step.DONE:
+                self.plan = self.plan.with_moved(each.tenant, each.target)
+
+    # Commands
+
+    def arrived(self, now: int, event: api.Arrived) -> Told:
+        """The command with its cell, held behind a fence, or refused at once."""
+        tenant = event.tenant
+        command = OpenCommand(tenant, event.profile, now, self.plan.version, None)
+        self._open[event.command] = command
+        if tenant is not None:
+            self._by_tenant.setdefault(tenant, set()).add(event.command)
+        if tenant is not None and moving.holds(self.moves.get(tenant)):
+            return [replace(event, cell=FENCE)]
+        told, refused = self._place(command)
+        number = command.place.number if command.place else FENCE
+        told.append(replace(event, cell=number))
+        if refused:
+            told.append(api.Dropped(event.command))
+        return told
+
+    def _place(self, command: OpenCommand) -> tuple[Told, bool]:
+        """Its cell, or the one that lends; whether it is to be refused, as nobody there may serve it."""
+        cell = self.plan.cell(self.plan.home(command.tenant))
+        if cell is None:
+            return [], True
+        serving = self._serving(cell, command)
+        if not serving and cell.empty is Empty.BORROW and not cell.quarantine and cell.lender is not None:
+            lender = self.plan.cell(cell.lender)
+            if lender is not None and self._serving(lender, command):
+                cell, serving = lender, True
+        told = self._enter(command, cell)
+        return told, not serving
+
+    def _serving(self, cell: Cell, command: OpenCommand) -> bool:
+        profile = self._profiles[command.profile]
+        return any(
+            engine.state is State.READY and profile.open_to(engine)
+            for engine in self._members.engines.get(cell.name, ())
+        )
+
+    def _enter(self, command: OpenCommand, cell: Cell) -> Told:
+        key = (cell.name, command.tenant if cell.shard else None)
+        place = self._places.get(key)
+        told: Told = []
+        if place is None:
+            self._numbers += 1
+            place = self._places[key] = Confinement(self._numbers, cell.name, key[1])
+            place.engines = self._engines(place)
+            told.append(api.Confined(place.number, self._pools[cell.name], place.engines))
+        place.users += 1
+        command.place = place
+        return told
+
+    def _leave(self, command: OpenCommand) -> Told:
+        """A shard that nobody uses any more is forgotten: tenants come and go by the thousand."""
+        place, command.place = command.place, None
+        if place is None:
+            return []
+        place.users -= 1
+        if place.users or place.tenant is None:
+            return []
+        del self._places[place.cell, place.tenant]
+        return [api.Confined(place.number, self._pools.get(place.cell, 0), frozenset())]
+
+    def _engines(self, place: Confinement) -> frozenset[api.EngineId]:
+        cell = self.plan.cell(place.cell)
+        if cell is None:
+            return frozenset()
+        return engines_for(self.plan, cell, place.tenant, self._members.engines.get(cell.name, ()))
+
+    # All else
+
+    def handle(self, now: int, event: api.Event | api.Action | CellEvent) -> Told:
+        match event:
+            case api.EngineNews():
+                return self._list(event)
+            case api.Send(command):
+                self._sent(command)
+            case api.Ended():
+                return self._ended(event)
+            case api.Shed(command) | api.Fail(command) | api.ClientGone(command):
+                return self._over(command)
+            case api.Settled():
+                return self._tick(now)
+            case MoveTenant(tenant, target, why):
+                return self._begin(now, tenant, target, why)
+            case AbortMove(tenant, why):
+                return self._abort(now, tenant, why)
+            case Written(move):
+                return self._written(now, move)
+            case NotWritten(move, why):
+                return self._not_written(now, move, why)
+            case NewPlan(plan):
+                return self._replan(now, plan)
+        return []
+
+    def _sent(self, command: int) -> None:
+        if (found := self._open.get(command)) is not None:
+            number = self._sends.get(command, 0)
+            self._sends[command] = number + 1
+            found.sent = True
+            found.out.add(number)
+
+    def _ended(self, event: api.Ended) -> Told:
+        found = self._open.get(event.command)
+        if found is None:
+            return []
+        found.out.discard(event.send)
+        return (
+            self._over(event.command)
+            if event.over or event.outcome is api.Outcome.ANSWERED
+            else self._forget(event.command)
+        )
+
+    def _over(self, command: int) -> Told:
+        if (found := self._open.get(command)) is None:
+            return []
+        found.over = True
+        return self._forget(command)
+
+    def _forget(self, command: int) -> Told:
+        """Only once every send has its outcome: a drain waits for them."""
+        found = self._open[command]
+        if not found.over or found.out:
+            return []
+        del self._open[command]
+        self._sends.pop(command, None)
+        if found.tenant is not None:
+            mine = self._by_tenant[found.tenant]
+            mine.discard(command)
+            if not mine:
+                del self._by_tenant[found.tenant]
+        return self._leave(found)
+
+    def _list(self, event: api.EngineNews) -> Told:
+        if event.kind is api.ListKind.FAILED:
+            return []
+        if event.kind is not api.ListKind.CHANGES:
+            self._listed.clear()
+        for engine in event.engines:
+            self._listed[engine.id] = engine
+        self._listed = {
+            name: engine for name, engine in self._listed.items() if engine.state is not State.GONE
+        }
+        return self._regroup()
+
+    def _regroup(self) -> Told:
+        self._members = members(self.plan, self._listed.values())
+        told: Told = []
+        for place in self._places.values():
+            engines = self._engines(place)
+            if engines != place.engines:
+                place.engines = engines
+                told.append(api.Confined(place.number, self._pools.get(place.cell, 0), engines))
+        return told
+
+    # Moves
+
+    def _busy(self, tenant: str) -> int:
+        """The tenant's commands that were sent and are not over with all their sends."""
+        return sum(self._open[command].sent for command in self._by_tenant.get(tenant, ()))
+
+    def _target_fails(self, move: Move) -> str | None:
+        """What the target can't serve that the source could."""
+        source, target = self.plan.cell(move.source), self.plan.cell(move.target)
+        if target is None:
+            return "the plan has no such cell any more"
+        for at, profile in enumerate(self._profiles):
+            command = OpenCommand(move.tenant, at, 0, 0, None)
+            if source is not None and self._serving(source, command) and not self._serving(target, command):
+                kinds = "its kind" if profile.kinds is not None else "any"
+                return f"no ready engine of {kinds} for profile {at}"
+        return None
+
+    def _tick(self, now: int) -> Told:
+        told: Told = []
+        for tenant, move in list(self.moves.items()):
+            if move.step in moving.OVER or tenant in self._writing:
+                continue
+            following = moving.advance(now, move, self._terms, self._busy(tenant), self._target_fails(move))
+            if following is not None:
+                told += self._step(following)
+        for command, found in self._open.items():
+            if (
+                found.place is None
+                and not found.over
+                and moving.patience_is_over(now, found.taken, self._terms)
+            ):
+                told.append(api.Dropped(command))
+        return told
+
+    def _step(self, move: Move) -> Told:
+        """Within a step nothing is to be written; the next one waits for the disk."""
+        if move.step is self.moves[move.tenant].step:
+            self.moves[move.tenant] = move
+            return []
+        self._writing[move.tenant] = move
+        return [Write(move)]
+
+    def _begin(self, now: int, tenant: str, target: str, why: str) -> Told:
+        try:
+            move = moving.begin(now, tenant, self.plan.home(tenant), target, self.moves, why)
+            if (fails := self._target_fails(move)) is not None:
+                raise CannotMove(f"'{target}' can't take '{tenant}': {fails}")
+        except CannotMove as error:
+            return [Refused(tenant, str(error))]
+        self.moves[tenant] = self._writing[tenant] = move
+        return [Write(move)]
+
+    def _abort(self, now: int, tenant: str, why: str) -> Told:
+        move = self.moves.get(tenant)
+        if move is None or move.step in moving.OVER:
+            return [Refused(tenant, f"'{tenant}' is not being moved")]
+        if (writing := self._writing.get(tenant)) is not None and writing.step in moving.NO_WAY_BACK:
+            return [Refused(tenant, f"the move of '{tenant}' has just been switched: move it back instead")]
+        try:
+            return self._step(moving.abort(now, move, why))
+        except CannotMove as error:
+            return [Refused(tenant, str(error))]
+
+    def _written(self, now: int, move: Move) -> Told:
+        if self._writing.get(move.tenant) != move:
+            return []  # overtaken by an abort
+        del self._writing[move.tenant]
+        self.moves[move.tenant] = move
+        match move.step:
+            case Step.FENCED:
+                return self._fence(move.tenant)
+            case Step.SWITCHED:
+                self.plan = self.plan.with_moved(move.tenant, move.target)
+            case Step.DONE | Step.UNDONE:
+                return self._let_go(now, move.tenant)
+        return []
+
+    def _not_written(self, now: int, move: Move, why: str) -> Told:
+        """A disk that can't be written stops moves, not service: what is not switched goes back at once."""
+        if self._writing.get(move.tenant) != move:
+            return []
+        del self._writing[move.tenant]
+        current = self.moves[move.tenant]
+        if current.step is Step.SWITCHED:  # its end only: the log reads as ended in any case
+            self.moves[move.tenant] = replace(move, step=Step.DONE)
+            return self._let_go(now, move.tenant)
+        self.moves[move.tenant] = replace(current, step=Step.UNDONE, since=now, why=why)
+        return self._let_go(now, move.tenant)
+
+    def _fence(self, tenant: str) -> Told:
+        """What was never sent waits with the new ones; what was sent comes to its end where it is."""
+        told: Told = []
+        for command in sorted(self._by_tenant.get(tenant, ())):
+            found = self._open[command]
+            if not found.sent and not found.over:
+                told += [api.Rehomed(command, FENCE), *self._leave(found)]
+        return told
+
+    def _let_go(self, now: int, tenant: str) -> Told:
+        told: Told = []
+        for command in sorted(self._by_tenant.get(tenant, ())):
+            found = self._open[command]
+            if found.place is None and not found.over:
+                placing, refused = self._place(found)
+                number = found.place.number if found.place else FENCE
+                told += [*placing, api.Rehomed(command, number)]
+                if refused or moving.patience_is_over(now, found.taken, self._terms):
+                    told.append(api.Dropped(command))
+        return told
+
+    def _replan(self, now: int, plan: Plan) -> Told:
+        """Open commands stay where they were taken to, while that cell is there; moves to or from a cell
+        that is no more are undone."""
+        names = {cell.name for cell in plan.cells}
+        kept = plan.moved
+        for tenant, where in self.plan.moved.items():
+            if where in names:
+                kept = kept.set(tenant, where)
+        self.plan = replace(plan, version=self.plan.version + 1, moved=kept)
+        for cell in plan.cells:
+            self._pools.setdefault(cell.name, len(self._pools))
+        told = self._regroup()
+        for tenant, move in list(self.moves.items()):
+            if move.step not in moving.NO_WAY_BACK and not {move.source, move.target} <= names:
+                told += self._abort(now, tenant, "the plan was read anew without its cell")
+        return told
+
+
+Module = Callable[[int, api.Event], list[api.Action]]
+
+
+class InCells:
+    """A decision module with a keeper of cells in front. `write` writes a step down and tells how that
+    went, now or later, by `handle`; `refused` hears of wishes that are not carried out."""
+
+    def __init__(
+        self,
+        module: Module,
+        keeper: CellKeeper,
+        write: Callable[[Move], None],
+        refused: Callable[[str], None],
+    ) -> None:
+        self._module, self.keeper, self._write, self._refused = module, keeper, write, refused
+
+    def handle(self, now: int, event: api.Event | CellEvent) -> list[api.Action]:
+        if isinstance(event, api.Arrived):
+            return self._carry_out(now, self.keeper.arrived(now, event))
+        if isinstance(event, CellEvent):
+            return self._carry_out(now, self.keeper.handle(now, event))
+        told = self.keeper.handle(now, event)  # an outcome counts before the module goes on with its command
+        actions = list(self._module(now, event))
+        for action in actions:
+            told += self.keeper.handle(now, action)
+        return actions + self._carry_out(now, told)
+
+    def _carry_out(self, now: int, told: Told) -> list[api.Action]:
+        done: list[api.Action] = []
+        for each in told:
+            if isinstance(each, Write):
+                self._write(each.move)
+            elif isinstance(each, Refused):
+                self._refused(each.why)
+            else:
+                actions = list(self._module(now, each))
+                done += actions
+                for action in actions:
+                    done += self._carry_out(now, self.keeper.handle(now, action))
+        return done
+
+
+def moves_in(records: Iterable[Move], now: int) -> Mapping[str, Move]:
+    """The last step of each tenant's move as written down, each ended or undone."""
+    found: dict[str, Move] = {}
+    for move in records:
+        found[move.tenant] = move
+    return {tenant: moving.recovered(now, move) for tenant, move in found.items()}
--- /dev/null
+++ b/lotusstream/cells/plan.py
@@ -0,0 +1,214 @@
+"""A plan of cells: which engines each is made of, and which tenants live there. Plans are values: one is
+changed into the next version, and older versions stay as they are for the commands that were taken under
+them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from immutables import Map
+
+from lotusstream.cells.draw import by_kind, drawn, lot, shard
+from lotusstream.cells.trie import NameTrie
+from lotusstream.interface import Effect, Engine, EngineId, Profile, Scope, State
+
+
+class Source(Enum):
+    """What tells a command's tenant."""
+
+    FIELD = "field"
+    KEY = "key"
+    SCHEMA = "schema"
+
+
+@dataclass(frozen=True, slots=True)
+class TenantSource:
+    """`name`: of the field, where it is one."""
+
+    source: Source
+    name: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Engines:
+    """A choice of engines; what is not named is left open. `part`: so much of them, by hash, from its
+    first to its second edge, 0 to 1. `told_cell`: the list's own cell, the scope of dropped repeats."""
+
+    zones: frozenset[int] | None = None
+    kinds: frozenset[int] | None = None
+    told_cells: frozenset[int] | None = None
+    ids: frozenset[EngineId] | None = None
+    part: tuple[float, float] | None = None
+
+    def takes(self, engine: Engine) -> bool:
+        return (
+            (self.zones is None or engine.zone in self.zones)
+            and (self.kinds is None or engine.kind in self.kinds)
+            and (self.told_cells is None or engine.cell in self.told_cells)
+            and (self.ids is None or engine.id in self.ids)
+            and (self.part is None or self.part[0] < lot("engine", engine.id) <= self.part[1])
+        )
+
+
+class Empty(Enum):
+    """What becomes of commands that no engine of their cell may serve now."""
+
+    REFUSE = "refuse"
+    BORROW = "borrow"
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """`engines`: any of these choices. `shard`: so many engines of each kind for each tenant; 0: all of
+    them. `weight`: of the drawn tenants. `lender`: the cell that is borrowed from. `quarantine`: for the
+    poisoned."""
+
+    name: str
+    engines: tuple[Engines, ...]
+    shard: int = 0
+    weight: float = 0.0
+    empty: Empty = Empty.REFUSE
+    lender: str | None = None
+    quarantine: bool = False
+
+    def takes(self, engine: Engine) -> bool:
+        return any(choice.takes(engine) for choice in self.engines)
+
+
+DRAWN = ""  # in place of a cell's name: drawn by weight
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """`tenants`: by name, prefix or pattern, the cell or DRAWN. `nameless`: the cell of commands without a
+    tenant. `others`: of tenants that no entry fits. `moved`: tenants whose cell was changed by hand or by
+    quarantine, before all else; a persistent map, so that a new version costs one path of it and no copy."""
+
+    version: int
+    sources: tuple[TenantSource, ...]
+    cells: tuple[Cell, ...]
+    tenants: NameTrie[str]
+    nameless: str
+    others: str = DRAWN
+    seed: int = 0
+    moved: Map[str, str] = field(default_factory=Map)
+
+    def cell(self, name: str) -> Cell | None:
+        return next((cell for cell in self.cells if cell.name == name), None)
+
+    def home(self, tenant: str | None) -> str:
+        """The name of a tenant's cell; None is a command without one."""
+        if tenant is None:
+            return self.nameless
+        if (name := self.moved.get(tenant)) is not None:
+            return name
+        name = self.tenants.find(tenant)
+        if name is None:
+            name = self.others
+        if name != DRAWN:
+            return name
+        weights = {cell.name: cell.weight for cell in self.cells if not cell.quarantine}
+        return drawn(tenant, weights, self.seed) or self.nameless
+
+    def with_moved(self, tenant: str, cell: str | None) -> Plan:
+        """The next version: the tenant lives in that cell, or where the plan as written puts it."""
+        moved = self.moved.delete(tenant) if cell is None else self.moved.set(tenant, cell)
+        return replace(self, version=self.version + 1, moved=moved)
+
+
+@dataclass(frozen=True, slots=True)
+class Members:
+    """The engines of each cell, as the list stands."""
+
+    engines: Mapping[str, tuple[Engine, ...]]
+    homeless: tuple[Engine, ...]
+    doubled: tuple[tuple[Engine, str, str], ...]
+
+
+def members(plan: Plan, listed: Iterable[Engine]) -> Members:
+    """Gone engines belong nowhere; an engine that two cells take belongs to the first, and is told."""
+    found: dict[str, list[Engine]] = {cell.name: [] for cell in plan.cells}
+    homeless, doubled = [], []
+    for engine in sorted(listed, key=lambda each: each.id):
+        if engine.state is State.GONE:
+            continue
+        takers = [cell.name for cell in plan.cells if cell.takes(engine)]
+        if not takers:
+            homeless.append(engine)
+            continue
+        found[takers[0]].append(engine)
+        doubled += [(engine, takers[0], other) for other in takers[1:]]
+    return Members({name: tuple(each) for name, each in found.items()}, tuple(homeless), tuple(doubled))
+
+
+def engines_for(plan: Plan, cell: Cell, tenant: str | None, inside: Iterable[Engine]) -> frozenset[EngineId]:
+    """A tenant's engines in its cell: all, or its shard of them."""
+    listed = [(engine.id, engine.kind) for engine in inside]
+    if not cell.shard or tenant is None:
+        return frozenset(engine for engine, _ in listed)
+    return shard(tenant, by_kind(listed), cell.shard, plan.seed)
+
+
+@dataclass(frozen=True, slots=True)
+class Unfit:
+    """What a plan can't do with the engines that there are. `profile` where one can't be served. `grave`:
+    the plan is turned down for it, not only told of."""
+
+    cell: str
+    what: str
+    hint: str
+    grave: bool = True
+    profile: str | None = None
+
+
+def unfit(plan: Plan, listed: Iterable[Engine], profiles: Mapping[str, Profile]) -> Iterator[Unfit]:
+    """Held against the engines as listed: at the check of a plan and whenever the list has changed."""
+    standing = members(plan, listed)
+    for engine in standing.homeless:
+        name = engine.id.decode("latin-1")
+        yield Unfit(
+            "", f"engine {name} is in no cell", "let a cell take it: engines all, in the last one", False
+        )
+    for engine, one, other in standing.doubled:
+        name = engine.id.decode("latin-1")
+        yield Unfit(other, f"engine {name} is in '{one}' already", f"leave it out here, or in '{one}'")
+    for cell in plan.cells:
+        inside = standing.engines[cell.name]
+        if not inside:
+            yield Unfit(cell.name, "no engine belongs to it", "widen its engines")
+            continue
+        for name, profile in profiles.items():
+            yield from _unserved(plan, cell, inside, name, profile)
+
+
+def _unserved(
+    plan: Plan, cell: Cell, inside: tuple[Engine, ...], name: str, profile: Profile
+) -> Iterator[Unfit]:
+    if any(profile.open_to(engine) for engine in inside):
+        return
+    lender = plan.cell(cell.lender) if cell.empty is Empty.BORROW and cell.lender else None
+    if lender is not None:
+        what = f"no engine here may serve {name}: it is borrowed from '{lender.name}'"
+        yield Unfit(cell.name, what, "add one of its kind", grave=False, profile=name)
+        return
+    hint = "add an engine that it is bound to, or 'empty borrow CELL'"
+    yield Unfit(cell.name, f"no engine here may serve {name}", hint, profile=name)
+
+
+def crossing(
+    plan: Plan, one: Cell, other: Cell, listed: Iterable[Engine], profiles: Mapping[str, Profile]
+) -> list[str]:
+    """Uniqued profiles whose repeats, sent to the other cell, would meet engines that don't drop them."""
+    standing = members(plan, listed)
+    here, there = (standing.engines[cell.name] for cell in (one, other))
+    found = []
+    for name, profile in profiles.items():
+        if profile.effect is not Effect.UNIQUED or profile.scope is Scope.ALL:
+            continue
+        zones = profile.scope is Scope.ZONE
+        scopes = [{each.zone if zones else each.cell for each in inside} for inside in (here, there)]
+        if scopes[0] != scopes[1]:
+            found.append(name)
+    return found
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -175,6 +175,7 @@
     group: int
     key: int | None
     cell: int | None = None  # may go nowhere else; None: anywhere
+    tenant: str | None = None  # for those in front of the module
 
 
 @dataclass(frozen=True, slots=True)
@@ -260,6 +261,21 @@
     engines: frozenset[EngineId]
 
 
+@dataclass(frozen=True, slots=True)
+class Rehomed:
+    """The command belongs to another cell from now on."""
+
+    command: int
+    cell: int
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """The command is to be given up now."""
+
+    command: int
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What does the module believe? Changes nothing; answered by Believed."""
@@ -290,6 +306,8 @@
     | Stopping
     | Reduced
     | Confined
+    | Rehomed
+    | Dropped
     | Asked
     | Settled
 )
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -77,6 +77,7 @@
             api.Ended: self._end_try, api.Noted: self._note, api.Probed: self._probed, api.Woken: self._woken,
             api.ClientGone: self._client_gone, api.Stopping: self._stop, api.Settled: self._settle,
             api.Reduced: self._reduce, api.Asked: self._tell_beliefs, api.Confined: self._confine,
+            api.Rehomed: self._rehome, api.Dropped: self._drop,
         }  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -139,12 +140,24 @@
 
     def _confine(self, event: api.Confined) -> None:
         """Guards the tenants of one cell against what those of another do to their engines."""
-        self.cells[event.cell] = event
+        if event.engines:
+            self.cells[event.cell] = event
+        else:
+            self.cells.pop(event.cell, None)
         self.pools.setdefault(event.pool, self._new_pool())
         self.pool_of = {engine: cell.pool for cell in self.cells.values() for engine in cell.engines}
         self._regroup()
         self._share_out()
 
+    def _rehome(self, event: api.Rehomed) -> None:
+        if cmd := self.open.get(event.command):
+            cmd.cell, cell = event.cell, self.cells.get(event.cell)
+            cmd.pool = self.pools[cell.pool if cell else None]
+
+    def _drop(self, event: api.Dropped) -> None:
+        if cmd := self.open.get(event.command):
+            self._give_up(cmd)
+
     def _regroup(self) -> None:
         for pool in self.pools.values():
             pool.ready, pool.out = [], 0
