Cells on the gateway: operator file, tenants from messages, moves written down and made by hand

The operator file has 'cells' (who, where, what then, log), held against zones, kinds, profiles and first known engines; a command's tenant comes from a field, its key or its schema; steps of moves are written off the loop before they are acted on; ctl cells, cells where, move, abort. A log that can't be trusted stops the start, a disk that can't be used stops moves only.

--- a/lotusstream/cells/keeper.py
+++ b/lotusstream/cells/keeper.py
@@ -95,6 +95,31 @@
     out: set[int] = field(default_factory=set)
 
 
+@dataclass(frozen=True, slots=True)
+class CellView:
+    """`unserved`: places of the profiles that no ready engine here may serve."""
+
+    name: str
+    engines: tuple[api.EngineId, ...]
+    ready: int
+    commands: int
+    tenants: int
+    unserved: tuple[int, ...]
+    lender: str | None
+    quarantine: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """`held`: commands behind a fence."""
+
+    version: int
+    cells: tuple[CellView, ...]
+    moves: tuple[Move, ...]
+    homeless: tuple[api.EngineId, ...]
+    held: int
+
+
 Told = list[api.Event | Write | Refused]
 
 
@@ -121,6 +146,63 @@
             if each.step is Step.DONE:
                 self.plan = self.plan.with_moved(each.tenant, each.target)
 
+    # For operators
+
+    def refuses(self, now: int, tenant: str, target: str) -> str | None:
+        """Why a move would not be begun, if it would not."""
+        try:
+            self._begun(now, tenant, target, "")
+        except CannotMove as error:
+            return str(error)
+        return None
+
+    def standing(self) -> Standing:
+        cells = []
+        for cell in self.plan.cells:
+            inside = self._members.engines.get(cell.name, ())
+            here = [
+                each
+                for each in self._open.values()
+                if each.place is not None and each.place.cell == cell.name
+            ]
+            unserved = [
+                at
+                for at in range(len(self._profiles))
+                if not self._serving(cell, OpenCommand(None, at, 0, 0, None))
+            ]
+            cells.append(
+                CellView(
+                    cell.name,
+                    tuple(engine.id for engine in inside),
+                    sum(engine.state is State.READY for engine in inside),
+                    len(here),
+                    len({each.tenant for each in here}),
+                    tuple(unserved),
+                    cell.lender if cell.empty is Empty.BORROW else None,
+                    cell.quarantine,
+                )
+            )
+        homeless = tuple(engine.id for engine in self._members.homeless)
+        held = sum(each.place is None for each in self._open.values())
+        return Standing(self.plan.version, tuple(cells), tuple(self.moves.values()), homeless, held)
+
+    def begun_anew(self) -> Told:
+        """For a module that knows nothing: the cells as they stand. All that was open has failed, and what
+        its sends do is not told any more, so moves that wait for them are undone."""
+        self._open.clear()
+        self._by_tenant.clear()
+        self._sends.clear()
+        self._places = {key: place for key, place in self._places.items() if place.tenant is None}
+        told: Told = []
+        for place in self._places.values():
+            place.users = 0
+            told.append(api.Confined(place.number, self._pools.get(place.cell, 0), place.engines))
+        for move in self.moves.values():
+            if move.step not in moving.NO_WAY_BACK:
+                self._writing[move.tenant] = replace(move, step=Step.UNDONE, why="the module began anew")
+                told.append(Write(self._writing[move.tenant]))
+        return told
+
     # Commands
 
     def arrived(self, now: int, event: api.Arrived) -> Told:
@@ -320,14 +402,18 @@
 
     def _begin(self, now: int, tenant: str, target: str, why: str) -> Told:
         try:
-            move = moving.begin(now, tenant, self.plan.home(tenant), target, self.moves, why)
-            if (fails := self._target_fails(move)) is not None:
-                raise CannotMove(f"'{target}' can't take '{tenant}': {fails}")
+            move = self._begun(now, tenant, target, why)
         except CannotMove as error:
             return [Refused(tenant, str(error))]
         self.moves[tenant] = self._writing[tenant] = move
         return [Write(move)]
 
+    def _begun(self, now: int, tenant: str, target: str, why: str) -> Move:
+        move = moving.begin(now, tenant, self.plan.home(tenant), target, self.moves, why)
+        if (fails := self._target_fails(move)) is not None:
+            raise CannotMove(f"'{target}' can't take '{tenant}': {fails}")
+        return move
+
     def _abort(self, now: int, tenant: str, why: str) -> Told:
         move = self.moves.get(tenant)
         if move is None or move.step in moving.OVER:
@@ -423,6 +509,8 @@
     def handle(self, now: int, event: api.Event | CellEvent) -> list[api.Action]:
         if isinstance(event, api.Arrived):
             return self._carry_out(now, self.keeper.arrived(now, event))
+        if isinstance(event, api.Started):
+            return [*self._module(now, event), *self._carry_out(now, self.keeper.begun_anew())]
         if isinstance(event, CellEvent):
             return self._carry_out(now, self.keeper.handle(now, event))
         told = self.keeper.handle(now, event)  # an outcome counts before the module goes on with its command
--- a/lotusstream/cli/__init__.py
+++ b/lotusstream/cli/__init__.py
@@ -53,9 +53,13 @@
 
     if configuration is None:
         return load_operator_file(path)
+    from lotusstream.operator.cells import Surroundings
+
     deployment = configuration.deployment
     profiles = dict(zip(deployment.profiles, deployment.started.profiles, strict=True))
-    return load_operator_file(path, profiles)
+    listed = {each.engine.id: each.engine for notice in configuration.known.notices for each in notice.listed}
+    around = Surroundings(profiles, deployment.zones, deployment.kinds, tuple(listed.values()))
+    return load_operator_file(path, around)
 
 
 async def run_gateway(path: str | None, operator_path: str | None = None) -> None:
@@ -118,8 +122,10 @@
         print("levels: none")
     for level in file.ladder.levels if file.ladder else ():
         print(f"level {level.name}: enter {level.enter}; leave {level.leave}")
-    if file.ladder is not None and not arguments.config:
-        print("names of profiles were not checked: give --config too")
+    for cell, _ in file.cells.cells if file.cells else ():
+        print(f"cell {cell.name}{', quarantine' if cell.quarantine else ''}")
+    if (file.ladder is not None or file.cells is not None) and not arguments.config:
+        print("names of profiles, zones and kinds were not checked: give --config too")
     return 0
 
 
--- a/lotusstream/cli/ctl.py
+++ b/lotusstream/cli/ctl.py
@@ -259,6 +259,40 @@
     gateway.show(gateway.ask(wire.ReleaseLevel()), render.levels)
 
 
+@ctl.group(invoke_without_command=True)
+@click.pass_context
+def cells(context: click.Context) -> None:
+    """The cells, who is on the way between them, and moves by hand."""
+    if context.invoked_subcommand is None:
+        _gateway(context).show(_gateway(context).ask(wire.Cells()), render.cells)
+
+
+@cells.command()
+@click.argument("tenant")
+@click.pass_context
+def where(context: click.Context, tenant: str) -> None:
+    """The cell of a tenant."""
+    _gateway(context).show(_gateway(context).ask(wire.Cells(tenant)), render.cells)
+
+
+@cells.command()
+@click.argument("tenant")
+@click.argument("cell")
+@click.option("--dry-run", is_flag=True, help="Only say whether it could be begun.")
+@click.pass_context
+def move(context: click.Context, tenant: str, cell: str, dry_run: bool) -> None:
+    """Move a TENANT to a CELL: fenced, drained, rested, switched."""
+    _gateway(context).show(_gateway(context).ask(wire.MoveCell(tenant, cell, dry_run)), render.cells)
+
+
+@cells.command()
+@click.argument("tenant")
+@click.pass_context
+def abort(context: click.Context, tenant: str) -> None:
+    """Undo a move that is not switched yet."""
+    _gateway(context).show(_gateway(context).ask(wire.AbortMove(tenant)), render.cells)
+
+
 def run(words: list[str]) -> int:
     """As a program: the status to end with."""
     try:
--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -134,6 +134,29 @@
     return table
 
 
+def cells(told: Mapping[str, Any]) -> RenderableType:
+    table = _table("cell", "engines>", "ready>", "commands>", "tenants>", "serves not", "borrows from", "")
+    for cell in told["cells"]:
+        table.add_row(
+            cell["name"], str(len(cell["engines"])), str(cell["ready"]), str(cell["commands"]),
+            str(cell["tenants"]), ", ".join(cell["unserved"]), cell["lender"] or "",
+            "quarantine" if cell["quarantine"] else "",
+        )  # fmt: skip
+    moves = _table("tenant", "from", "to", "step", "for>", "why")
+    for move in told["moves"]:
+        moves.add_row(
+            move["tenant"], move["source"], move["target"], move["step"], span(told["now"] - move["since"]),
+            move["why"],
+        )  # fmt: skip
+    rows = [("plan", f"version {told['version']}, {told['held']} commands held behind fences")]
+    if told["homeless"]:
+        rows.append(("in no cell", ", ".join(told["homeless"])))
+    if "tenant" in told:
+        rows.append((told["tenant"], f"in {told['home']}"))
+    parts: list[RenderableType] = [_pairs(rows), "", table]
+    return Group(*parts, "", moves) if told["moves"] else Group(*parts)
+
+
 def look(told: Mapping[str, Any]) -> RenderableType:
     parts: list[RenderableType] = [status(told["status"]), ""]
     if "levels" in told:
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -29,6 +29,7 @@
     group: int
     statement: bytes
     ends_by: int
+    tenant: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +52,7 @@
     ends: TakenCommand | None = None
 
 
+TenantOf = Callable[[dict[str, str], str | None, str], str | None]  # fields, mark, statement
 ClientReport = Callable[[TakenCommand | ClientLeft], None]
 
 
@@ -152,8 +154,10 @@
         unread: Unread,
         share: ClientShare,
         supervisor: Supervisor,
+        tenant_of: TenantOf | None = None,
     ) -> None:
         super().__init__("client", supervisor)
+        self._tenant_of = tenant_of
         self._sock, self._deployment, self._share = sock, deployment, share
         self._clock, self._report, self._good, self._unread = clock, report, good, unread
         self._cut_off = self._writing = False
@@ -275,7 +279,8 @@
             if len(self.open) >= front.MOST_OPEN:
                 raise front.UnusableCommand("too many open")
             fields = front.command_fields(message.fields, self._deployment)
-            group = table_group(message.body.decode())
+            statement = message.body.decode()
+            group = table_group(statement)
             if group is None:
                 raise front.UnusableCommand("the statement names no group of tables")
         except (front.UnusableCommand, UnicodeDecodeError) as error:
@@ -284,6 +289,8 @@
             kind = TApplicationException.PROTOCOL_ERROR
             self.post(Reply(front.encode_fault("process", message.seqid, kind, str(error))))
             return
-        command = TakenCommand(self, message.seqid, fields, group, message.body, at + fields.time_left)
+        tenant = self._tenant_of(message.fields, fields.mark, statement) if self._tenant_of else None
+        ends_by = at + fields.time_left
+        command = TakenCommand(self, message.seqid, fields, group, message.body, ends_by, tenant)
         self.open[message.seqid] = command
         self._report(command)
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -44,6 +44,10 @@
     event: Any
 
 
+class Nudge:
+    """A round is due though nothing has come: time alone may change something beside the module."""
+
+
 @dataclass(frozen=True, slots=True)
 class OpenCommand:
     """For operators. Times in microseconds; `engines`: where its sends that are out went."""
@@ -90,6 +94,7 @@
     | api.Stopping
     | Ring
     | Tell
+    | Nudge
     | Describe
 )
 
@@ -198,7 +203,16 @@
         self._calls.add(taken.fields.call)
         self._bytes += len(taken.statement)
         fields, left = taken.fields, max(0, taken.ends_by - self._now)
-        return api.Arrived(held.id, fields.profile, fields.hint, fields.memory_mb, left, taken.group, None)
+        return api.Arrived(
+            held.id,
+            fields.profile,
+            fields.hint,
+            fields.memory_mb,
+            left,
+            taken.group,
+            None,
+            tenant=taken.tenant,
+        )
 
     def _left(self, taken: TakenCommand) -> api.Event | None:
         held = self._by_taken.get(taken)
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -15,16 +15,18 @@
 from lotusstream import interface as api
 from lotusstream.deployment import Deployment, UnusableSettings, read_settings
 from lotusstream.net.actor import Supervisor
-from lotusstream.net.client import ClientConnection, ClientShare, Unread
+from lotusstream.net.client import ClientConnection, ClientShare, TenantOf, Unread
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
-from lotusstream.net.decider import Decider, Module
+from lotusstream.net.decider import Decider, Module, Tell
 from lotusstream.net.engine_list import EngineList, Follow
 from lotusstream.protocol import notices
 
 if TYPE_CHECKING:
+    from lotusstream.cells.keeper import CellKeeper
     from lotusstream.levels.keeper import LevelKeeper
     from lotusstream.net.control import ControlServer
+    from lotusstream.net.moves import MoveWriter
     from lotusstream.net.operated import Operated
     from lotusstream.operator.file import OperatorFile
 
@@ -91,20 +93,72 @@
         self._budget = SocketBudget(most - most_clients - self._spare - OWN - control)
         self._share = ClientShare(most_clients, self._clock, self.supervisor)
         self._unread = Unread(memory // 8)
+        if operator is not None and operator.log is not None:  # before anything has something to say
+            from lotusstream.observe.log import structured
+
+            writer = structured(operator.log.form, operator.log.threshold, configuration.name)
+            self.supervisor.log.use(writer)
+        self._writer: MoveWriter | None = None
+        self._cells = self._cell_keeper(operator)
         keeper, beside = self._keeper(operator)
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor, beside)
         self._list = EngineList(deployment, self._clock, self._decider.post, self.supervisor)
         self._listener: socket.socket | None = None
         self._operated, self._control = self._operate(operator, keeper)
+        self._tenants = self._tenant_of()
 
     def _keeper(self, operator: OperatorFile | None) -> tuple[LevelKeeper | None, BesideModule | None]:
         if operator is None or operator.ladder is None:
-            return None, None
+            return None, self._in_cells if self._cells else None
         from lotusstream.levels.keeper import Beside, LevelKeeper
 
         deployment = self._configuration.deployment
         keeper = LevelKeeper(operator.ladder, deployment.started, deployment.profiles)
-        return keeper, lambda module: Beside(module.handle, keeper)
+        return keeper, lambda module: Beside(self._in_cells(module).handle, keeper)
+
+    def _cell_keeper(self, operator: OperatorFile | None) -> CellKeeper | None:
+        """With the moves that its log holds. A disk that can't be used stops moves, a log that can't be
+        trusted the start."""
+        if operator is None or operator.cells is None:
+            return None
+        from lotusstream.cells.keeper import CellKeeper
+        from lotusstream.cells.move import Move, terms
+        from lotusstream.net.moves import MoveWriter, read_moves
+        from lotusstream.record.log import DiskTrouble, Log, LogTrouble
+
+        cells, deployment = operator.cells, self._configuration.deployment
+        profiles, log, why, moves = deployment.started.profiles, None, "the cells have no log", list[Move]()
+        if cells.log is not None:
+            try:
+                log = Log(cells.log).open()
+                moves = read_moves(log, cells.log, self._clock.now())
+            except DiskTrouble as error:
+                log, why = None, str(error)
+                self.supervisor.log.say("moves", f"none can be made: {why}", "error")
+            except LogTrouble as error:
+                raise UnusableConfiguration(f"cells: {error}") from error
+        self._writer = MoveWriter(log, why, lambda event: self._decider.post(Tell(event)), self.supervisor)
+        plan = cells.plan(deployment.zones, deployment.kinds)
+        return CellKeeper(plan, terms(profiles, cells.hold, cells.drain), profiles, moves)
+
+    def _in_cells(self, module: Module) -> Module:
+        if self._cells is None or self._writer is None:
+            return module
+        from lotusstream.cells.keeper import InCells
+
+        log = self.supervisor.log
+        return InCells(module.handle, self._cells, self._writer.post, lambda why: log.say("moves", why))
+
+    def _tenant_of(self) -> TenantOf | None:
+        if self._cells is None:
+            return None
+        from lotusstream.cells.who import tenant_of
+        from lotusstream.protocol.tables import schema_name
+
+        cells = self._cells
+        return lambda fields, mark, statement: tenant_of(
+            cells.plan.sources, fields, mark, lambda: schema_name(statement)
+        )
 
     def _operate(
         self, operator: OperatorFile | None, keeper: LevelKeeper | None
@@ -116,13 +170,10 @@
         from lotusstream.observe.own import OwnUseReader
 
         given = self._configuration
-        if operator.log is not None:
-            from lotusstream.observe.log import structured
-
-            writer = structured(operator.log.form, operator.log.threshold, given.name)
-            self.supervisor.log.use(writer)
         own = OwnUseReader(given.cores, given.memory, given.descriptors)
-        operated = Operated(operator, given.name, keeper, self._decider, own, self._clock, self.supervisor)
+        operated = Operated(
+            operator, given, keeper, self._cells, self._decider, own, self._clock, self.supervisor
+        )
         return operated, control_server(operator, operated, self.supervisor)
 
     @property
@@ -155,7 +206,9 @@
         self._list.post(Follow(self._configuration.board))
         self._resume_accept(listener)
         self.supervisor.keep("watch", self._watch)
-        if self._operated is not None and self._operated.leveled:
+        if self._writer is not None:
+            self._writer.start()
+        if self._operated is not None and self._operated.ticks:
             self.supervisor.keep("levels", self._operated.feed)
 
     def _announce(self) -> None:
@@ -240,6 +293,7 @@
             self._unread,
             self._share,
             self.supervisor,
+            self._tenants,
         )
         await client.serve()
 
@@ -285,3 +339,5 @@
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
         await self.supervisor.stop()
+        if self._writer is not None:
+            self._writer.close()
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -6,10 +6,12 @@
 import asyncio
 import dataclasses
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lotusstream import __version__
 from lotusstream import interface as api
+from lotusstream.cells.keeper import AbortMove, CellKeeper, MoveTenant, NewPlan
+from lotusstream.cells.move import NO_WAY_BACK
 from lotusstream.levels.gauge import Health
 from lotusstream.levels.history import Cause, Change
 from lotusstream.levels.keeper import Hold, LevelKeeper, NewLadder, Release
@@ -17,11 +19,15 @@
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US
 from lotusstream.net.control import ControlServer, Manners, Refused
-from lotusstream.net.decider import Decider, Describe, Tell, View
+from lotusstream.net.decider import Decider, Describe, Nudge, Tell, View
 from lotusstream.observe.own import OwnUse, OwnUseReader
 from lotusstream.operator.file import OperatorFile
 from lotusstream.protocol import control as wire
 
+if TYPE_CHECKING:
+    from lotusstream.net.gateway import Configuration
+
+TICK = 0.25  # seconds, where no ladder names a window
 OWN_EVERY = 1.0  # seconds between two looks at the gateway's own use
 ANSWER_WITHIN = 5.0  # seconds for the decider to answer
 
@@ -32,34 +38,38 @@
     def __init__(
         self,
         file: OperatorFile,
-        name: str,
+        given: Configuration,
         keeper: LevelKeeper | None,
+        cells: CellKeeper | None,
         decider: Decider,
         own: OwnUseReader,
         clock: Clock,
         supervisor: Supervisor,
     ) -> None:
-        self.file, self._name, self._keeper, self._decider = file, name, keeper, decider
+        self.file, self._given, self._name, self._decider = file, given, given.name, decider
+        self._keeper, self._cells = keeper, cells
         self._own, self._clock, self._supervisor = own, clock, supervisor
         self._started = clock.now()
         self._logged = 0
         self._used: tuple[float, OwnUse] | None = None
 
     @property
-    def leveled(self) -> bool:
-        return self._keeper is not None
+    def ticks(self) -> bool:
+        return self._keeper is not None or self._cells is not None
 
     # Levels
 
     async def feed(self) -> None:
         """Ticks for the keeper, with the gateway's own use and the loop's stall."""
         keeper = self._keeper
-        assert keeper is not None
-        pause = keeper.every / US
+        pause = keeper.every / US if keeper else TICK
         while True:
             before = time.monotonic()
             await asyncio.sleep(pause)
             stall = int((time.monotonic() - before - pause) * US)
+            if keeper is None:
+                self._decider.post(Nudge())
+                continue
             use = self._use()
             self._decider.post(Tell(Health(use.core, use.memory, use.descriptors, max(0, stall))))
             self._log_changes(keeper)
@@ -96,6 +106,9 @@
         self.file = new
         if new.ladder is not None and self._keeper is not None:
             self._decider.post(Tell(NewLadder(new.ladder)))
+        if new.cells is not None and self._cells is not None:
+            deployment = self._given.deployment
+            self._decider.post(Tell(NewPlan(new.cells.plan(deployment.zones, deployment.kinds))))
 
     # Control
 
@@ -115,6 +128,12 @@
                 return await self._hold(Hold(level, span))
             case wire.ReleaseLevel():
                 return await self._release()
+            case wire.Cells(tenant):
+                return self._cells_told(tenant)
+            case wire.MoveCell(tenant, cell, dry_run):
+                return await self._move(tenant, cell, dry_run)
+            case wire.AbortMove(tenant):
+                return await self._abort(tenant)
         raise Refused("unknown", "no such request")
 
     async def _view(self) -> View:
@@ -215,6 +234,49 @@
             raise Refused("absent", "no level is held")
         return await self._by_hand(Release())
 
+    def _kept(self) -> CellKeeper:
+        if self._cells is None:
+            raise Refused("absent", "the operator file has no cells: add some, and start the gateway anew")
+        return self._cells
+
+    def _cells_told(self, tenant: str | None) -> dict[str, Any]:
+        keeper, names = self._kept(), self._given.deployment.profiles
+        standing = keeper.standing()
+        told: dict[str, Any] = {
+            "now": self._clock.now(),
+            "version": standing.version,
+            "held": standing.held,
+            "homeless": [each.decode("latin-1") for each in standing.homeless],
+            "moves": [dataclasses.asdict(move) | {"step": move.step.value} for move in standing.moves],
+            "cells": [
+                dataclasses.asdict(cell)
+                | {
+                    "engines": [each.decode("latin-1") for each in cell.engines],
+                    "unserved": [names[at] for at in cell.unserved],
+                }
+                for cell in standing.cells
+            ],
+        }
+        if tenant is not None:
+            told["tenant"], told["home"] = tenant, keeper.plan.home(tenant)
+        return told
+
+    async def _move(self, tenant: str, cell: str, dry_run: bool) -> dict[str, Any]:
+        if (why := self._kept().refuses(self._clock.now(), tenant, cell)) is not None:
+            raise Refused("unknown", why)
+        if not dry_run:
+            self._decider.post(Tell(MoveTenant(tenant, cell, "by hand")))
+            await self._view()
+        return self._cells_told(tenant)
+
+    async def _abort(self, tenant: str) -> dict[str, Any]:
+        move = self._kept().moves.get(tenant)
+        if move is None or move.step in NO_WAY_BACK:
+            raise Refused("unknown", f"'{tenant}' is on no way that it could come back from")
+        self._decider.post(Tell(AbortMove(tenant, "by hand")))
+        await self._view()
+        return self._cells_told(tenant)
+
     async def _by_hand(self, event: Hold | Release) -> dict[str, Any]:
         self._decider.post(Tell(event))
         await self._view()  # has been told by then: the mailbox keeps its order
--- /dev/null
+++ b/lotusstream/operator/cells.py
@@ -0,0 +1,248 @@
+"""The cells of an operator file: as they are written, and as a plan once zones, kinds and engines are
+known."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
+
+from lotusstream.cells.plan import DRAWN, Cell, Empty, Engines, Plan, Source, TenantSource, unfit
+from lotusstream.cells.trie import BadPattern, NameTrie
+from lotusstream.interface import Engine, Profile
+from lotusstream.operator.grammar import Word
+from lotusstream.operator.problems import Problem, nearest
+from lotusstream.operator.tree import Argument, Directive, Node, Unfit, name, number, path, time
+from lotusstream.operator.units import NoSuchUnit, parse_share
+
+SECOND = 1_000_000
+HOLD, DRAIN, MOST_MOVES = 2 * SECOND, 30 * SECOND, 10
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What the gateway's configuration tells: profiles by name, zones, kinds, engines as first known."""
+
+    profiles: Mapping[str, Profile]
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    engines: tuple[Engine, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EnginesText:
+    """A choice of engines by name; each given word narrows it."""
+
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    list_cells: tuple[int, ...] = ()
+    ids: tuple[str, ...] = ()
+    part: tuple[float, float] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CellsText:
+    """`log`: where moves are written down, or None: none can be made. Times in microseconds."""
+
+    log: str | None
+    sources: tuple[TenantSource, ...]
+    hold: int
+    drain: int
+    seed: int
+    nameless: str
+    others: str
+    cells: tuple[tuple[Cell, tuple[EnginesText, ...]], ...]
+    tenants: NameTrie[str]
+
+    def plan(self, zones: Sequence[str], kinds: Sequence[str]) -> Plan:
+        """Raises Unfit where a zone or kind is not known."""
+        cells = []
+        for cell, texts in self.cells:
+            chosen = tuple(_chosen(text, zones, kinds) for text in texts)
+            cells.append(
+                Cell(cell.name, chosen, cell.shard, cell.weight, cell.empty, cell.lender, cell.quarantine)
+            )
+        return Plan(1, self.sources, tuple(cells), self.tenants, self.nameless, self.others, self.seed)
+
+
+def _chosen(text: EnginesText, zones: Sequence[str], kinds: Sequence[str]) -> Engines:
+    def places(told: tuple[str, ...], known: Sequence[str], what: str) -> frozenset[int] | None:
+        for each in told:
+            if each not in known:
+                raise Unfit(f"no {what} is called '{each}'", nearest(each, known))
+        return frozenset(known.index(each) for each in told) if told else None
+
+    return Engines(
+        places(text.zones, zones, "zone"),
+        places(text.kinds, kinds, "kind"),
+        frozenset(text.list_cells) if text.list_cells else None,
+        frozenset(each.encode() for each in text.ids) if text.ids else None,
+        text.part,
+    )
+
+
+# Words of a line
+
+
+def read_engines(words: Sequence[Word]) -> EnginesText:
+    """`all`, or pairs: zone NAME, kind NAME, list-cell N, id NAME, part SHARE SHARE."""
+    found: dict[str, list[str]] = {"zone": [], "kind": [], "list-cell": [], "id": []}
+    part: tuple[float, float] | None = None
+    left = list(words)
+    if not left:
+        raise Unfit("found the end of the line", "all, zone, kind, list-cell, id or part would do")
+    if left[0].text == "all" and len(left) == 1:
+        return EnginesText()
+    while left:
+        word = left.pop(0)
+        if word.text == "part":
+            part = _part(word, [left.pop(0) for _ in range(min(2, len(left)))])
+        elif word.text not in found:
+            raise Unfit(f"found '{word.text}'", nearest(word.text, [*found, "part", "all"]), word.column)
+        elif not left:
+            raise Unfit("found the end of the line", f"what {word.text} it is would do")
+        else:
+            found[word.text].append(left.pop(0).plain())
+    numbers = [each for each in found["list-cell"] if not each.isdigit()]
+    if numbers:
+        raise Unfit(f"found '{numbers[0]}'", "the number of a cell as the list has it would do")
+    told_cells = tuple(int(each) for each in found["list-cell"])
+    return EnginesText(tuple(found["zone"]), tuple(found["kind"]), told_cells, tuple(found["id"]), part)
+
+
+def _part(word: Word, edges: list[Word]) -> tuple[float, float]:
+    hint = "two shares would do, as in part 0% 50%"
+    try:
+        low, high = (parse_share(edge.text) for edge in edges)
+    except (NoSuchUnit, ValueError) as error:
+        raise Unfit("'part' has no two shares", hint, word.column) from error
+    if not 0 <= low < high <= 1:
+        raise Unfit(f"a part from {low:.0%} to {high:.0%}", hint, word.column)
+    return low, high
+
+
+def read_names(words: Sequence[Word]) -> tuple[Word, ...]:
+    if not words:
+        raise Unfit("found the end of the line", "names, prefixes as in uni-* or patterns would do")
+    return tuple(words)
+
+
+def read_source(words: Sequence[Word]) -> TenantSource:
+    """`field NAME`, `key` or `schema`."""
+    told = [word.plain() for word in words]
+    if len(told) == 2 and told[0] == "field":
+        return TenantSource(Source.FIELD, told[1])
+    if len(told) == 1 and told[0] in ("key", "schema"):
+        return TenantSource(Source(told[0]))
+    found = f"found '{words[0].text}'" if words else "found the end of the line"
+    raise Unfit(found, "field NAME, key or schema would do", words[0].column if words else None)
+
+
+def read_empty(words: Sequence[Word]) -> tuple[Empty, str | None]:
+    """`refuse`, or `borrow CELL`."""
+    told = [word.plain() for word in words]
+    if told == ["refuse"]:
+        return Empty.REFUSE, None
+    if len(told) == 2 and told[0] == "borrow":
+        return Empty.BORROW, told[1]
+    found = f"found '{words[0].text}'" if words else "found the end of the line"
+    raise Unfit(found, "refuse, or borrow CELL, would do", words[0].column if words else None)
+
+
+def _all(*directives: Directive) -> dict[str, Directive]:
+    return {directive.keyword: directive for directive in directives}
+
+
+CELL = _all(
+    Directive("engines", "which engines belong to it, as in zone east kind c12", rest=read_engines,
+              many=True, required=True),
+    Directive("tenants", "who lives here: names, prefixes as in uni-*, patterns", rest=read_names, many=True),
+    Directive("shard", "so many engines of each kind for each tenant",
+              (Argument("a number", number(1, 1000)),)),
+    Directive("weight", "its part of the drawn tenants", (Argument("a number", number(0, 1000)),)),
+    Directive("empty", "when no engine may serve: refuse, or borrow CELL", rest=read_empty),
+    Directive("quarantine", "for the poisoned: nobody is drawn to it, and it borrows from none"),
+)  # fmt: skip
+
+CELLS = _all(
+    Directive("log", "where moves are written down", (Argument("a path", path),)),
+    Directive("tenant", "what tells whose a command is: field NAME, key or schema; the first that does",
+              rest=read_source, many=True, required=True),
+    Directive("nameless", "the cell of commands without a tenant", (Argument("a cell", name),),
+              required=True),
+    Directive("others", "the cell of tenants that nothing names, or drawn", (Argument("a cell", name),)),
+    Directive("seed", "of the draws, the same on all gateways", (Argument("a number", number(0, 2**31)),)),
+    Directive("hold", "how long new commands of a tenant that moves are held", (Argument("a time", time),)),
+    Directive("drain", "how long a move waits for outcomes", (Argument("a time", time),)),
+    Directive("cell", "one cell", (Argument("a name", name),), block=CELL, many=True, required=True),
+)  # fmt: skip
+
+
+def cells_of(file: str, block: Node) -> tuple[CellsText, list[Problem]]:
+    """What is written, and what is wrong with it whatever the gateway."""
+    problems: list[Problem] = []
+
+    def wrong(node: Node, what: str, hint: str, column: int | None = None) -> None:
+        problems.append(Problem(file, node.line, column or node.column, what, hint))
+
+    names = [node.values["a name"] for node in block.all("cell")]
+    tenants: NameTrie[str] = NameTrie()
+    cells = []
+    for node in block.all("cell"):
+        here = node.values["a name"]
+        empty, lender = node.value("empty", "rest", (Empty.REFUSE, None))
+        quarantine = node.one("quarantine") is not None
+        if lender is not None and (lender not in names or lender == here):
+            at = node.one("empty") or node
+            wrong(
+                at,
+                f"no other cell is called '{lender}'",
+                nearest(lender, [n for n in names if n != here] or ["none"]),
+            )
+        if quarantine and (lender is not None or node.one("weight") is not None):
+            wrong(
+                node, f"'{here}' is a quarantine, and borrows or is drawn", "leave 'borrow' and 'weight' out"
+            )
+        for each in node.all("tenants"):
+            for word in each.values["rest"]:
+                try:
+                    tenants.add(word.plain(), here)
+                except BadPattern as error:
+                    wrong(each, str(error), "name each tenant or pattern once, in one cell", word.column)
+        weight = 0.0 if quarantine else float(node.value("weight", "a number", 1))
+        cell = Cell(here, (), node.value("shard", "a number", 0), weight, empty, lender, quarantine)
+        cells.append((cell, tuple(each.values["rest"] for each in node.all("engines"))))
+    nameless, others = block.value("nameless", "a cell"), block.value("others", "a cell", "drawn")
+    for keyword, told in (("nameless", nameless), ("others", others)):
+        known = [*names, "drawn"] if keyword == "others" else names
+        if told is not None and told not in known and (node_of := block.one(keyword)):
+            wrong(node_of, f"no cell is called '{told}'", nearest(told, known))
+    return CellsText(
+        block.value("log", "a path"),
+        tuple(node.values["rest"] for node in block.all("tenant")),
+        block.value("hold", "a time", HOLD),
+        block.value("drain", "a time", DRAIN),
+        block.value("seed", "a number", 0),
+        nameless,
+        DRAWN if others == "drawn" else others,
+        tuple(cells),
+        tenants,
+    ), problems
+
+
+def unfit_cells(file: str, block: Node, text: CellsText, around: Surroundings) -> Iterator[Problem]:
+    """What does not go with the gateway's zones, kinds, profiles and engines as first known."""
+    places = {node.values["a name"]: node for node in block.all("cell")}
+    for cell, texts in text.cells:
+        for at, choice_of in zip(places[cell.name].all("engines"), texts, strict=True):
+            try:
+                _chosen(choice_of, around.zones, around.kinds)
+            except Unfit as error:
+                yield Problem(file, at.line, at.column, error.what, error.hint)
+    try:
+        plan = text.plan(around.zones, around.kinds)
+    except Unfit:
+        return
+    for each in unfit(plan, around.engines, around.profiles) if around.engines else ():
+        if each.grave:
+            at = places.get(each.cell, block)
+            yield Problem(file, at.line, at.column, f"cell {each.cell}: {each.what}", each.hint)
--- a/lotusstream/operator/file.py
+++ b/lotusstream/operator/file.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 
-from lotusstream.interface import Further, Profile
+from lotusstream.interface import Further
 from lotusstream.levels.condition import Compare
 from lotusstream.levels.ladder import FULL_SERVICE, Ladder, Level, Start, Unsound, unsound, unsound_for
+from lotusstream.operator.cells import CellsText, Surroundings, cells_of, unfit_cells
 from lotusstream.operator.problems import Problem, UnusableOperatorFile
 from lotusstream.operator.tree import Node, TreeReader
 from lotusstream.operator.units import write_time
@@ -47,16 +47,22 @@
     control: ControlSocket | None
     log: LogStyle | None
     ladder: Ladder | None
+    cells: CellsText | None
     root: Node
 
-    def unfit_for(self, profiles: Mapping[str, Profile]) -> list[Problem]:
-        """What does not go with the gateway's profiles."""
-        if self.ladder is None:
-            return []
-        return [_placed(self.path, self.root, each) for each in unsound_for(self.ladder, profiles)]
+    def unfit_for(self, around: Surroundings) -> list[Problem]:
+        """What does not go with the gateway's configuration."""
+        found = []
+        if self.ladder is not None:
+            found += [
+                _placed(self.path, self.root, each) for each in unsound_for(self.ladder, around.profiles)
+            ]
+        if self.cells is not None and (block := self.root.one("cells")) is not None:
+            found += unfit_cells(self.path, block, self.cells, around)
+        return found
 
 
-def load_operator_file(path: str, profiles: Mapping[str, Profile] | None = None) -> OperatorFile:
+def load_operator_file(path: str, around: Surroundings | None = None) -> OperatorFile:
     """Raises UnusableOperatorFile with all that is wrong."""
     try:
         with Path(path).open("rb") as file:
@@ -74,11 +80,12 @@
         column = error.start - (raw[: error.start].rfind(b"\n") + 1) + 1
         trouble = Problem(path, line, column, "a byte that is not UTF-8", "save the file as UTF-8")
         raise UnusableOperatorFile([trouble]) from error
-    return read_operator_file(text, path, profiles)
+    return read_operator_file(text, path, around)
 
 
-def read_operator_file(text: str, path: str, profiles: Mapping[str, Profile] | None = None) -> OperatorFile:
-    """Raises UnusableOperatorFile. Without profiles, names of profiles are not checked."""
+def read_operator_file(text: str, path: str, around: Surroundings | None = None) -> OperatorFile:
+    """Raises UnusableOperatorFile. Without surroundings, names of profiles, zones and kinds are not
+    checked."""
     reader = TreeReader(path, TOP)
     root = reader.read(text)
     problems = list(reader.problems)
@@ -88,6 +95,11 @@
         problems += _limits(path, block)
         ladder = _ladder(block)
         problems += [_placed(path, root, each) for each in unsound(ladder)]
+    cells = None
+    block = root.one("cells")
+    if block is not None and not any(_within(block, problem, text) for problem in problems):
+        cells, wrong = cells_of(path, block)
+        problems += wrong
     if (node := root.one("control")) is None:
         for keyword in ("control-request", "control-patience", "control-clients"):
             if (alone := root.one(keyword)) is not None:
@@ -111,8 +123,8 @@
         log = LogStyle(
             node.values["console or json"], node.values.get("debug, info, warning or error", "info")
         )
-    found = OperatorFile(path, control, log, ladder, root)
-    if profiles is not None and (unfit := found.unfit_for(profiles)):
+    found = OperatorFile(path, control, log, ladder, cells, root)
+    if around is not None and (unfit := found.unfit_for(around)):
         raise UnusableOperatorFile(unfit)
     return found
 
@@ -188,6 +200,10 @@
         found.append("control (the control socket)")
     if (now.log is None) != (new.log is None) or (now.log and new.log and now.log.form != new.log.form):
         found.append("log (the form of lines)")
+    if (now.cells is None) != (new.cells is None) or (
+        now.cells and new.cells and now.cells.log != new.cells.log
+    ):
+        found.append("cells (from none, to none, or their log)")
     if (now.ladder is None) != (new.ladder is None):
         found.append("ladder (from none, or to none)")
     elif now.ladder and new.ladder and now.ladder.window != new.ladder.window:
--- a/lotusstream/operator/tree.py
+++ b/lotusstream/operator/tree.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import difflib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,11 +17,12 @@
 
 
 class Unfit(Exception):
-    """A value that won't do: what was found, and what would."""
+    """A value that won't do: what was found, and what would. `column`: where, if not where it was read
+    from."""
 
-    def __init__(self, what: str, hint: str) -> None:
+    def __init__(self, what: str, hint: str, column: int | None = None) -> None:
         super().__init__(what)
-        self.what, self.hint = what, hint
+        self.what, self.hint, self.column = what, hint, column
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +46,7 @@
     block: Mapping[str, Directive] | None = None
     condition: bool = False
     condition_after: str | None = None
+    rest: Callable[[Sequence[Word]], object] | None = None  # all other values at once; raises Unfit
     many: bool = False
     required: bool = False
 
@@ -205,7 +207,13 @@
             return node
         for argument in directive.arguments:
             self._read_argument(node, argument, line, words)
-        if words and directive.condition_after is not None and words[0].text == directive.condition_after:
+        if directive.rest is not None:
+            try:
+                node.values["rest"] = directive.rest(words)
+            except Unfit as error:
+                end = len(line.text.split("#")[0].rstrip()) + 1
+                self._problem(line.number, error.column or end, error.what, error.hint)
+        elif words and directive.condition_after is not None and words[0].text == directive.condition_after:
             self._read_condition(node, line, words[0].column + len(words[0].text) - 1)
         elif words:
             self._problem(
@@ -250,7 +258,9 @@
         directive = node.directive
         same = block.all(directive.keyword)
         first = directive.arguments[0].name if directive.arguments else None
-        if directive.many and first is not None:
+        if directive.many and directive.rest is not None:
+            same = []
+        elif directive.many and first is not None:
             mine = node.values.get(first)
             same = [each for each in same if mine is not None and each.values.get(first) == mine]
         if same:
--- a/lotusstream/operator/vocabulary.py
+++ b/lotusstream/operator/vocabulary.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from lotusstream.interface import Further
+from lotusstream.operator.cells import CELLS
 from lotusstream.operator.tree import Argument, Directive, choice, name, number, path, share, size, time
 
 
@@ -95,5 +96,6 @@
             ),
         ),
     ),
+    Directive("cells", "cells of engines, and which tenants live there", block=CELLS),
     Directive("ladder", "levels of reduced service", block=LADDER),
 )
--- a/lotusstream/protocol/control.py
+++ b/lotusstream/protocol/control.py
@@ -52,7 +52,32 @@
     pass
 
 
-Asking = Status | Levels | Engines | Commands | CountersAsked | HoldLevel | ReleaseLevel
+class Cells(Request, tag="cells"):
+    tenant: str | None = None
+
+
+class MoveCell(Request, tag="move"):
+    tenant: str
+    cell: str
+    dry_run: bool = False
+
+
+class AbortMove(Request, tag="abort"):
+    tenant: str
+
+
+Asking = (
+    Status
+    | Levels
+    | Engines
+    | Commands
+    | CountersAsked
+    | HoldLevel
+    | ReleaseLevel
+    | Cells
+    | MoveCell
+    | AbortMove
+)
 
 _REQUESTS: msgspec.json.Decoder[Asking] = msgspec.json.Decoder(Asking)
 
--- a/lotusstream/protocol/tables.py
+++ b/lotusstream/protocol/tables.py
@@ -21,18 +21,30 @@
 
 
 def table_group(statement: str) -> int | None:
-    """The number behind the underscore in the schema's name: of a table's name if one is found where
-    tables are named, else of any name with a schema."""
-    anywhere: int | None = None
+    """The number behind the underscore in the schema's name."""
+    found = _schema(statement)
+    return None if found is None else found[0]
+
+
+def schema_name(statement: str) -> str | None:
+    """The whole name of that schema."""
+    found = _schema(statement)
+    return None if found is None else found[1]
+
+
+def _schema(statement: str) -> tuple[int, str] | None:
+    """Number and name: of a table's name if one is found where tables are named, else of any name with a
+    schema."""
+    anywhere: tuple[int, str] | None = None
     names: list[str] = []  # of the dotted name being read
     before = ""  # the word before it
     dotted = in_tables = False
 
-    def group() -> int | None:
+    def group() -> tuple[int, str] | None:
         if len(names) < 2 or names[-2].lower() == "staging":
             return None
         found = _GROUP.match(names[-2])
-        return int(found[1]) if found else None
+        return (int(found[1]), names[-2]) if found else None
 
     for token in _TOKEN.finditer(statement):
         kind = token.lastgroup
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -14,6 +14,7 @@
 from lotusstream.levels.condition import Compare, Condition, alternatives, overlap, truth
 from lotusstream.levels.signals import Key, Value
 from lotusstream.operator import units
+from lotusstream.operator.cells import Surroundings
 from lotusstream.operator.file import OperatorFile, fixed_differences, load_operator_file, read_operator_file
 from lotusstream.operator.problems import UnusableOperatorFile
 
@@ -33,7 +34,7 @@
 
 def problems(text: str, **profiles: api.Profile) -> list[str]:
     with pytest.raises(UnusableOperatorFile) as caught:
-        read_operator_file(text, "f", profiles or None)
+        read_operator_file(text, "f", Surroundings(profiles) if profiles else None)
     return [str(problem) for problem in caught.value.problems]
 
 
@@ -64,7 +65,21 @@
     assert found.levels[0].enter.dwell == 1_500_000
 
 
+def cells(*each: str, more: str = "tenant key\nnameless a") -> str:
+    return f"cells\n{more}\n{''.join(f'cell {one}' + chr(10) + 'end' + chr(10) for one in each)}end\n"
+
+
 BROKEN = {
+    cells("a\n engines all", more="nameless a"): "f:1:1: 'cells' has no 'tenant'; tenant: what tells whose",
+    cells("a\n engines all", more="tenant\nnameless a"): "f:2:7: found the end of the line; field NAME, key or schema",
+    cells("a\n engines all", more="tenant key\nnameless b"): "f:3:1: no cell is called 'b'; one of a",
+    cells("a\n engines all\n empty lend b"): "f:6:8: found 'lend'; refuse, or borrow CELL, would do",
+    cells("a\n engines all\n empty borrow a"): "f:6:2: no other cell is called 'a'; one of none",
+    cells("a\n engines zone"): "f:5:14: found the end of the line; what zone it is would do",
+    cells("a\n engines knd c12"): "f:5:10: found 'knd'; did you mean 'kind'?",
+    cells("a\n engines part 50% 10%"): "f:5:10: a part from 50% to 10%; two shares would do",
+    cells("a\n engines all\n tenants x x"): "f:6:12: 'x' comes a second time; name each tenant or pattern once",
+    cells("a\n engines all\n quarantine\n weight 2"): "f:4:1: 'a' is a quarantine, and borrows or is drawn; leave",
     "contrl /x": "f:1:1: 'contrl' is not known here; did you mean 'control'?",
     "control": "f:1:8: found the end of the line; a path would do",
     "control /x y": "f:1:12: found 'y'; the end of the line would do",
@@ -130,7 +145,7 @@
     dear = ladder(level(more="admit report 50%"))
     assert "reduces report before lookup" in problems(dear, **known)[0]
     meant = ladder(level(more="admit report 50%\n despite-benefit"))
-    assert read_operator_file(meant, "f", known).ladder is not None
+    assert read_operator_file(meant, "f", Surroundings(known)).ladder is not None
 
 
 @pytest.mark.parametrize(
