What a profile usually takes and what finds no place are judged by cell; quarantine for the poisonous

Quarantine: blame by engines lost, errors and run-away work, told apart from neighbours by how often a tenant's sends come to harm; a move to the quarantine cell, refusal where there is none, back when it has faded.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-SUBJECTS = ("levels",)
+SUBJECTS = ("cells", "levels")
 
 
 def main() -> int:
--- a/lotusstream/cells/keeper.py
+++ b/lotusstream/cells/keeper.py
@@ -14,8 +14,10 @@
 from lotusstream.cells import move as moving
 from lotusstream.cells.move import CannotMove, Move, Step, Terms
 from lotusstream.cells.plan import Cell, Empty, Members, Plan, engines_for, members
+from lotusstream.cells.poison import PoisonJudge, PoisonTerms
 from lotusstream.interface import State
 
+JUDGE_EVERY = 1_000_000  # microseconds
 FENCE = 0  # the number of no cell: nothing may serve it
 
 
@@ -89,6 +91,7 @@
     profile: int
     taken: int
     version: int
+    hint: int | None
     place: Confinement | None  # None: behind a fence
     sent: bool = False
     over: bool = False
@@ -118,6 +121,7 @@
     moves: tuple[Move, ...]
     homeless: tuple[api.EngineId, ...]
     held: int
+    poisoned: tuple[str, ...]
 
 
 Told = list[api.Event | Write | Refused]
@@ -127,9 +131,19 @@
     """`arrived` gives a command its cell; `handle` takes all else that happens."""
 
     def __init__(
-        self, plan: Plan, terms: Terms, profiles: tuple[api.Profile, ...], moves: Iterable[Move] = ()
+        self,
+        plan: Plan,
+        terms: Terms,
+        profiles: tuple[api.Profile, ...],
+        moves: Iterable[Move] = (),
+        poison: PoisonTerms | None = None,
     ) -> None:
-        """`moves`: as the log has them, from `recovered`."""
+        """`moves`: as the log has them, from `recovered`. `poison`: when a tenant goes to quarantine, if
+        ever."""
+        self._poison = PoisonJudge(poison) if poison else None
+        self._ward: dict[str, int] = {}  # tenants in quarantine for their blame, since when
+        self._shut: dict[str, int] = {}  # refused until then, where no quarantine takes them
+        self._judged_at = 0
         self.plan, self._terms, self._profiles = plan, terms, profiles
         self._listed: dict[api.EngineId, api.Engine] = {}
         self._members = Members({}, (), ())
@@ -145,6 +159,9 @@
             self.moves[each.tenant] = each
             if each.step is Step.DONE:
                 self.plan = self.plan.with_moved(each.tenant, each.target)
+                target = self.plan.cell(each.target)
+                if target is not None and target.quarantine:
+                    self._ward[each.tenant] = each.since
 
     # For operators
 
@@ -168,7 +185,7 @@
             unserved = [
                 at
                 for at in range(len(self._profiles))
-                if not self._serving(cell, OpenCommand(None, at, 0, 0, None))
+                if not self._serving(cell, OpenCommand(None, at, 0, 0, None, None))
             ]
             cells.append(
                 CellView(
@@ -184,7 +201,9 @@
             )
         homeless = tuple(engine.id for engine in self._members.homeless)
         held = sum(each.place is None for each in self._open.values())
-        return Standing(self.plan.version, tuple(cells), tuple(self.moves.values()), homeless, held)
+        moves = tuple(self.moves.values())
+        poisoned = tuple(sorted({*self._ward, *self._shut}))
+        return Standing(self.plan.version, tuple(cells), moves, homeless, held, poisoned)
 
     def begun_anew(self) -> Told:
         """For a module that knows nothing: the cells as they stand. All that was open has failed, and what
@@ -208,12 +227,14 @@
     def arrived(self, now: int, event: api.Arrived) -> Told:
         """The command with its cell, held behind a fence, or refused at once."""
         tenant = event.tenant
-        command = OpenCommand(tenant, event.profile, now, self.plan.version, None)
+        command = OpenCommand(tenant, event.profile, now, self.plan.version, event.hint, None)
         self._open[event.command] = command
         if tenant is not None:
             self._by_tenant.setdefault(tenant, set()).add(event.command)
         if tenant is not None and moving.holds(self.moves.get(tenant)):
             return [replace(event, cell=FENCE)]
+        if tenant is not None and now < self._shut.get(tenant, now):
+            return [replace(event, cell=FENCE), api.Dropped(event.command)]
         told, refused = self._place(command)
         number = command.place.number if command.place else FENCE
         told.append(replace(event, cell=number))
@@ -277,10 +298,10 @@
         match event:
             case api.EngineNews():
                 return self._list(event)
-            case api.Send(command):
-                self._sent(command)
+            case api.Send(command, engine):
+                self._sent(now, command, engine)
             case api.Ended():
-                return self._ended(event)
+                return self._ended(now, event)
             case api.Shed(command) | api.Fail(command) | api.ClientGone(command):
                 return self._over(command)
             case api.Settled():
@@ -297,17 +318,21 @@
                 return self._replan(now, plan)
         return []
 
-    def _sent(self, command: int) -> None:
+    def _sent(self, now: int, command: int, engine: api.EngineId) -> None:
         if (found := self._open.get(command)) is not None:
+            if self._poison is not None and found.tenant is not None:
+                self._poison.sent(now, found.tenant, engine)
             number = self._sends.get(command, 0)
             self._sends[command] = number + 1
             found.sent = True
             found.out.add(number)
 
-    def _ended(self, event: api.Ended) -> Told:
+    def _ended(self, now: int, event: api.Ended) -> Told:
         found = self._open.get(event.command)
         if found is None:
             return []
+        if self._poison is not None and found.tenant is not None:
+            self._poison.ended(now, found.tenant, event, found.hint)
         found.out.discard(event.send)
         return (
             self._over(event.command)
@@ -369,14 +394,46 @@
         if target is None:
             return "the plan has no such cell any more"
         for at, profile in enumerate(self._profiles):
-            command = OpenCommand(move.tenant, at, 0, 0, None)
+            command = OpenCommand(move.tenant, at, 0, 0, None, None)
             if source is not None and self._serving(source, command) and not self._serving(target, command):
                 kinds = "its kind" if profile.kinds is not None else "any"
                 return f"no ready engine of {kinds} for profile {at}"
         return None
 
+    def _judge(self, now: int, judge: PoisonJudge) -> Told:
+        """The poisonous go to quarantine, by a move as any other: its fence stops them at once. They come
+        back once their time is over and their blame has faded."""
+        told: Told = []
+        for each in judge.poisonous(now):
+            tenant = each.tenant
+            if tenant in self._ward or now < self._shut.get(tenant, now) or self._moving(tenant):
+                continue
+            ward = judge.terms.cell
+            begun = self._begin(now, tenant, ward, str(each)) if ward else [Refused(tenant, str(each))]
+            if isinstance(begun[0], Refused):  # there is no ward, or it can't serve what the tenant needs
+                self._shut[tenant] = now + judge.terms.stay
+                begun = [Refused(tenant, f"'{tenant}' is refused for a time: {begun[0].why}")]
+            else:
+                self._ward[tenant] = now
+            told += begun
+        for tenant, since in list(self._ward.items()):
+            if self._moving(tenant):
+                continue
+            if self.plan.home(tenant) != judge.terms.cell:  # it is back, or was moved by hand
+                del self._ward[tenant]
+            elif now - since >= judge.terms.stay and judge.is_clean(now, tenant):
+                told += self._begin(now, tenant, self.plan.written(tenant), "its blame has faded")
+        self._shut = {tenant: until for tenant, until in self._shut.items() if until > now}
+        return told
+
+    def _moving(self, tenant: str) -> bool:
+        return (move := self.moves.get(tenant)) is not None and move.step not in moving.OVER
+
     def _tick(self, now: int) -> Told:
         told: Told = []
+        if self._poison is not None and now - self._judged_at >= JUDGE_EVERY:
+            self._judged_at = now
+            told += self._judge(now, self._poison)
         for tenant, move in list(self.moves.items()):
             if move.step in moving.OVER or tenant in self._writing:
                 continue
@@ -434,7 +491,8 @@
             case Step.FENCED:
                 return self._fence(move.tenant)
             case Step.SWITCHED:
-                self.plan = self.plan.with_moved(move.tenant, move.target)
+                written = self.plan.written(move.tenant) == move.target
+                self.plan = self.plan.with_moved(move.tenant, None if written else move.target)
             case Step.DONE | Step.UNDONE:
                 return self._let_go(now, move.tenant)
         return []
--- a/lotusstream/cells/plan.py
+++ b/lotusstream/cells/plan.py
@@ -104,6 +104,10 @@
             return self.nameless
         if (name := self.moved.get(tenant)) is not None:
             return name
+        return self.written(tenant)
+
+    def written(self, tenant: str) -> str:
+        """Where the plan puts it, before any move."""
         name = self.tenants.find(tenant)
         if name is None:
             name = self.others
@@ -114,7 +118,11 @@
 
     def with_moved(self, tenant: str, cell: str | None) -> Plan:
         """The next version: the tenant lives in that cell, or where the plan as written puts it."""
-        moved = self.moved.delete(tenant) if cell is None else self.moved.set(tenant, cell)
+        moved = self.moved
+        if cell is not None:
+            moved = moved.set(tenant, cell)
+        elif tenant in moved:
+            moved = moved.delete(tenant)
         return replace(self, version=self.version + 1, moved=moved)
 
 
--- a/lotusstream/cells/trie.py
+++ b/lotusstream/cells/trie.py
@@ -37,6 +37,7 @@
 
     def __init__(self, entries: Iterable[tuple[str, V]] = ()) -> None:
         self._root: _Node[V] = _Node("")
+        self._endings: _Node[V] = _Node("")  # of entries as in *-library, read from their end
         self._count = 0
         self._known: set[str] = set()
         for entry, value in entries:
@@ -57,6 +58,8 @@
         literals = len(entry) - entry.count("*") - entry.count("?")
         if literals == len(entry):
             self._node(entry).exact = (value,)
+        elif len(entry) > 1 and entry.startswith("*") and literals == len(entry) - 1:
+            self._node(entry[:0:-1], self._endings).prefix = (literals, value)
         elif entry.endswith("*") and literals == len(entry) - 1:
             self._node(entry[:-1]).prefix = (literals, value)
         else:
@@ -66,9 +69,9 @@
             waiting.append((literals, self._count, re.compile(fits, re.DOTALL), value))
             waiting.sort(key=lambda each: (-each[0], each[1]))
 
-    def _node(self, text: str) -> _Node[V]:
+    def _node(self, text: str, root: _Node[V] | None = None) -> _Node[V]:
         """The node at the end of the text, made with those on the way."""
-        node = self._root
+        node = root or self._root
         while text:
             child = node.children.get(text[0])
             if child is None:
@@ -90,7 +93,8 @@
 
     def find(self, name: str) -> V | None:
         """The value of the most specific entry that fits, or None."""
-        node, at, best, found = self._root, 0, -1, None
+        best, found = self._ending(name) if self._endings.children else (-1, None)
+        node, at = self._root, 0
         while True:
             if node.prefix is not None and node.prefix[0] >= best:
                 best, found = node.prefix
@@ -106,3 +110,16 @@
             if child is None or not name.startswith(child.label, at):
                 return found
             node, at = child, at + len(child.label)
+
+    def _ending(self, name: str) -> tuple[int, V | None]:
+        """The longest ending that fits: its literal characters and its value."""
+        found: tuple[int, V | None] = (-1, None)
+        node, at = self._endings, 0
+        name = name[::-1]
+        while (child := node.children.get(name[at : at + 1])) is not None and name.startswith(
+            child.label, at
+        ):
+            node, at = child, at + len(child.label)
+            if node.prefix is not None:
+                found = node.prefix
+        return found
--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -151,6 +151,8 @@
     rows = [("plan", f"version {told['version']}, {told['held']} commands held behind fences")]
     if told["homeless"]:
         rows.append(("in no cell", ", ".join(told["homeless"])))
+    if told["poisoned"]:
+        rows.append(("poisoned", ", ".join(told["poisoned"])))
     if "tenant" in told:
         rows.append((told["tenant"], f"in {told['home']}"))
     parts: list[RenderableType] = [_pairs(rows), "", table]
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -139,7 +139,7 @@
                 raise UnusableConfiguration(f"cells: {error}") from error
         self._writer = MoveWriter(log, why, lambda event: self._decider.post(Tell(event)), self.supervisor)
         plan = cells.plan(deployment.zones, deployment.kinds)
-        return CellKeeper(plan, terms(profiles, cells.hold, cells.drain), profiles, moves)
+        return CellKeeper(plan, terms(profiles, cells.hold, cells.drain), profiles, moves, cells.poison)
 
     def _in_cells(self, module: Module) -> Module:
         if self._cells is None or self._writer is None:
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -246,6 +246,7 @@
             "now": self._clock.now(),
             "version": standing.version,
             "held": standing.held,
+            "poisoned": list(standing.poisoned),
             "homeless": [each.decode("latin-1") for each in standing.homeless],
             "moves": [dataclasses.asdict(move) | {"step": move.step.value} for move in standing.moves],
             "cells": [
--- a/lotusstream/operator/cells.py
+++ b/lotusstream/operator/cells.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from lotusstream.cells.plan import DRAWN, Cell, Empty, Engines, Plan, Source, TenantSource, unfit
+from lotusstream.cells.poison import PoisonTerms
 from lotusstream.cells.trie import BadPattern, NameTrie
 from lotusstream.interface import Engine, Profile
 from lotusstream.operator.grammar import Word
@@ -52,6 +53,7 @@
     others: str
     cells: tuple[tuple[Cell, tuple[EnginesText, ...]], ...]
     tenants: NameTrie[str]
+    poison: PoisonTerms | None
 
     def plan(self, zones: Sequence[str], kinds: Sequence[str]) -> Plan:
         """Raises Unfit where a zone or kind is not known."""
@@ -173,6 +175,9 @@
     Directive("seed", "of the draws, the same on all gateways", (Argument("a number", number(0, 2**31)),)),
     Directive("hold", "how long new commands of a tenant that moves are held", (Argument("a time", time),)),
     Directive("drain", "how long a move waits for outcomes", (Argument("a time", time),)),
+    Directive("poison", "past so much blame a tenant goes to quarantine, for so long at least",
+              (Argument("a number", number(1, 10**6)), Argument("a time", time, after="half-life"),
+               Argument("another time", time, after="stay"))),
     Directive("cell", "one cell", (Argument("a name", name),), block=CELL, many=True, required=True),
 )  # fmt: skip
 
@@ -226,9 +231,19 @@
         DRAWN if others == "drawn" else others,
         tuple(cells),
         tenants,
+        _poison(block, cells),
     ), problems
 
 
+def _poison(block: Node, cells: Sequence[tuple[Cell, object]]) -> PoisonTerms | None:
+    node = block.one("poison")
+    if node is None:
+        return None
+    ward = next((cell.name for cell, _ in cells if cell.quarantine), None)
+    values = node.values
+    return PoisonTerms(float(values["a number"]), values["a time"], values["another time"], ward)
+
+
 def unfit_cells(file: str, block: Node, text: CellsText, around: Surroundings) -> Iterator[Problem]:
     """What does not go with the gateway's zones, kinds, profiles and engines as first known."""
     places = {node.values["a name"]: node for node in block.all("cell")}
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -99,7 +99,6 @@
         self.seed = zlib.crc32(event.seed.to_bytes(8, "little"))
         self.given, self.duties, self.allowed = event, event.duties, event.allowed
         self.shortest = min(profile.target for profile in event.profiles)
-        self.usual = [Usual(profile) for profile in event.profiles]
         self.even = self.share = 1.0 / event.gateways
         self.in_hand, self.pools[None] = Ring(4 * self.shortest, BUCKETS), self._new_pool()
         self.unprobed, self.probed = 0, int(self._chance() * PROBE_EVERY)
@@ -136,7 +135,8 @@
         self._share_out()
 
     def _new_pool(self) -> Pool:
-        return Pool(Ring(8 * self.shortest, BUCKETS))
+        usual = [Usual(profile) for profile in self.given.profiles]
+        return Pool(Ring(8 * self.shortest, BUCKETS), usual)
 
     def _confine(self, event: api.Confined) -> None:
         """Guards the tenants of one cell against what those of another do to their engines."""
@@ -168,17 +168,17 @@
                 be.pool.ready.append(be)
 
     def _take(self, event: api.Arrived) -> None:
-        profile, usual = self.given.profiles[event.profile], self.usual[event.profile]
+        cell = self.cells.get(event.cell) if event.cell is not None else None
+        pool = self.pools[cell.pool if cell else None]
+        profile, usual = self.given.profiles[event.profile], pool.usual[event.profile]
         work = usual.estimate(self.now, event.hint)
         ends_by = min(self.now + event.client_timeout, self.stop_by)
         stretch = profile.stretch * work / profile.threads if event.hint else 0.0  # most lie under the mean
         due = min(int(self.now + profile.target + stretch), ends_by)
         weight = usual.work.mean(self.now, 2 * usual.guess, 4.0)
-        cell = self.cells.get(event.cell) if event.cell is not None else None
         cmd = self.open[event.command] = self.waiting[event.command] = Command(
             event.command, event.profile, profile, event.group, event.key if profile.in_order else None,
-            event.hint, work, weight, due, ends_by, self._lot(),
-            self.pools[cell.pool if cell else None], event.cell)  # fmt: skip
+            event.hint, work, weight, due, ends_by, self._lot(), pool, event.cell)  # fmt: skip
         if cmd.key is not None:
             self.turns.setdefault(cmd.key, deque()).append(cmd)
         self.taken.add(self.now, 0.0)
@@ -286,7 +286,7 @@
             if not a_try.stalled:
                 self._learn_pace(be, cmd, event.latency, (event.work or cmd.work) / cmd.profile.threads)
             if event.work or not a_try.stalled:
-                self.usual[cmd.kind].learn(self.now, work, cmd.hint)
+                be.pool.usual[cmd.kind].learn(self.now, work, cmd.hint)
         elif event.outcome is Outcome.FULL:
             be.full_at = self.now
         elif not a_try.doomed and event.outcome not in (Outcome.MOOT, Outcome.ERROR if cmd.erred else None):
@@ -305,7 +305,7 @@
 
     def _learn_pace(self, be: Backend, cmd: Command, latency: int, alone: float) -> None:
         pace = math.log(max(latency, 1) / max(alone, 1.0))
-        for ring in (be.paces, be.pool.paces, self.usual[cmd.kind].paces):
+        for ring in (be.paces, be.pool.paces, be.pool.usual[cmd.kind].paces):
             ring.add(self.now, pace)
 
     # Endings
@@ -449,7 +449,8 @@
         """Guards engines that some profile is bound to against work that could go elsewhere: what a command
         free to go anywhere sees of an engine is what the bound ones are thought to leave."""
         self.homes.clear()
-        asked = [usual.asked.total(self.now)[0] for usual in self.usual]
+        asked = [sum([pool.usual[at].asked.total(self.now)[0] for pool in self.pools.values()])
+                 for at in range(len(self.given.profiles))]  # fmt: skip
         level = sum(asked) / max(1.0, sum([be.cores for be in self.ready]))  # work asked for a core
         for be in self.ready:
             be.spare = be.cores
@@ -515,16 +516,18 @@
         """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
         ready = deque(sorted(filter(self._has_turn, self.waiting.values()), key=lambda cmd: cmd.due))
         self._gauge()
-        stuck: set[int] = set()  # profiles with no place left; within a release none comes free
+        stuck: set[tuple[int, int | None]] = (
+            set()
+        )  # profiles with no place left; within a release none comes free
         while ready:
             roomy = [be for be in self.ready if be.aside_until is None or
                      (not be.out and self.now >= be.aside_until)]  # fmt: skip
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
-                place = self._place(cmd, roomy) if cmd.tries or cmd.kind not in stuck else None
+                place = self._place(cmd, roomy) if cmd.tries or (cmd.kind, cmd.cell) not in stuck else None
                 if place is None and not cmd.tries:
-                    stuck.add(cmd.kind)
+                    stuck.add((cmd.kind, cmd.cell))
                 elif place and (picked is None or place[0] < picked[0]):
                     picked = (place[0], at, place[3])
                 if picked and not picked[0]:
@@ -615,7 +618,7 @@
         if a_try.doomed or not (self.allowed.cancelling and self._may_send_again(cmd)):
             return
         age, alone = self.now - a_try.at, cmd.work / profile.threads
-        fresh = alone * max(be.pool.calm, math.exp(self.usual[cmd.kind].paces.mean(self.now, 0.0, 1.0)))
+        fresh = alone * max(be.pool.calm, math.exp(be.pool.usual[cmd.kind].paces.mean(self.now, 0.0, 1.0)))
         left = max(a_try.finish - self.now, age / 4) if a_try.told else float(age)
         total = age + left if a_try.told else 0 if self.given.note_every else age
         late = self.now + left > max(cmd.due, self.now + 2 * fresh)
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import dataclass, field
+from typing import Any
 
 from lotusstream import interface as api
 from lotusstream.ring import Ring
@@ -61,7 +62,8 @@
 class Pool:
     """Engines that are judged together: all of them, or those of cells."""
 
-    def __init__(self, paces: Ring) -> None:
+    def __init__(self, paces: Ring, usual: list[Any]) -> None:
+        self.usual = usual  # what each profile's commands take there
         self.ready: list[Backend] = []
         self.paces, self.out = paces, 0  # threads of this gateway there
         self.strained, self.calm, self.best, self.room, self.others = False, 1.0, math.inf, 0.0, 0.0
--- a/tests/cells/test_moves.py
+++ b/tests/cells/test_moves.py
@@ -24,6 +24,7 @@
 )
 from lotusstream.cells.move import Move, Step, terms
 from lotusstream.cells.plan import Cell, Empty, Engines, Plan, Source, TenantSource
+from lotusstream.cells.poison import PoisonTerms
 from lotusstream.cells.trie import NameTrie
 from lotusstream.policy import Gateway
 
@@ -56,10 +57,13 @@
 class Host:
     """The module behind a keeper of cells; what is written down goes to a list, unless the disk is full."""
 
-    def __init__(self, of: Plan | None = None, disk: list[Move] | None = None, now: int = S) -> None:
+    def __init__(
+        self, of: Plan | None = None, disk: list[Move] | None = None, now: int = S,
+        poison: PoisonTerms | None = None,
+    ) -> None:  # fmt: skip
         self.now, self.disk, self.full = now, disk if disk is not None else [], False
         moves = moves_in(self.disk, now).values()
-        self.keeper = CellKeeper(of or plan(), TERMS, PROFILES, moves)
+        self.keeper = CellKeeper(of or plan(), TERMS, PROFILES, moves, poison)
         self.refused: list[str] = []
         self.host = InCells(Gateway().handle, self.keeper, self._write, self.refused.append)
         self.log: list[api.Action] = []
@@ -315,6 +319,31 @@
     assert not keeper._open and not keeper._by_tenant and not keeper._sends and len(keeper._places) == 0
 
 
+@pytest.mark.parametrize("ward", [True, False])
+def test_a_tenant_that_kills_engines_goes_to_quarantine_or_is_refused_and_comes_back(ward: bool) -> None:
+    cells = (Cell("east", (EAST,)), Cell("ward", (WEST,), quarantine=True))
+    made = plan(cells=cells, tenants=NameTrie([("*", "east")]), nameless="east")
+    host = Host(made, poison=PoisonTerms(4.0, 20 * S, 30 * S, "ward" if ward else None))
+    for _ in range(6):
+        kills, beside = host.take("uni-bad", profile=2), host.take("uni-good", profile=2)
+        for command, outcome in ((kills, api.Outcome.ERROR), (beside, api.Outcome.ANSWERED)):
+            if any(command == each for each, _ in host.out):
+                host.end(command, outcome)
+    host.pass_time(S)
+    assert host.keeper.standing().poisoned == ("uni-bad",)
+    if ward:
+        host.pass_time(10 * S)
+        assert host.step("uni-bad") is Step.DONE and "poison: blame" in host.disk[0].why
+        in_ward = host.take("uni-bad")
+        assert host.zones(in_ward) == {1} and host.zones(host.take("uni-good")) == {0}
+        host.end(in_ward)
+    else:
+        refused = host.take("uni-bad")
+        assert host.finals(refused) and not host.sent.get(refused)
+    host.pass_time(60 * S)
+    assert host.zones(host.take("uni-bad")) == {0} and host.keeper.standing().poisoned == ()
+
+
 class AnyCourse(RuleBasedStateMachine):
     """Whatever comes in whatever order."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -454,3 +454,26 @@
     command = host.take(3)
     host.pass_time(26 * S)
     assert [type(final) for final in host.finals(command)] == [api.Shed]
+
+
+def test_what_waits_for_one_cell_holds_up_no_other() -> None:
+    host = Host()
+    host.engines(engine(1, state=State.DRAINING), engine(2))
+    host.tell(api.Confined(1, 1, frozenset({engine(1).id})), api.Confined(2, 2, frozenset({engine(2).id})))
+    for command, cell in ((901, 1), (902, 2)):
+        host.tell(api.Arrived(command, 0, 200 * MS, None, 6 * S, 1, None, cell=cell))
+    assert not host.sends(901) and [send.engine for send in host.sends(902)] == [engine(2).id]
+
+
+def test_a_command_goes_nowhere_but_to_its_cell_and_moves_with_it() -> None:
+    host = Host()
+    host.engines(engine(1), engine(2))
+    host.tell(api.Confined(1, 1, frozenset({engine(1).id})))
+    host.tell(api.Arrived(901, 0, 200 * MS, None, 6 * S, 1, None, cell=1))
+    host.engines(engine(1, state=State.DRAINING), engine(2))
+    host.end(901, Outcome.RESET)
+    assert len(host.sends(901)) == 1
+    host.tell(api.Confined(2, 2, frozenset({engine(2).id})), api.Rehomed(901, 2))
+    assert [send.engine for send in host.sends(901)] == [engine(1).id, engine(2).id]
+    host.tell(api.Dropped(901))
+    assert host.finals(901) == [api.Shed(901, 500 * MS)]
