A plan read anew moves tenants with remembered marks; what carries a mark borrows nowhere new

Need: a reload that puts a tenant elsewhere, or a lender in another zone, would meet a client's repeat with engines that do not know its mark. Such a tenant stays and is moved with fence and rest; such a command is refused. An engine in no cell turns a plan down; one that two take belongs to the first.

--- a/lotusstream/cells/keeper.py
+++ b/lotusstream/cells/keeper.py
@@ -13,7 +13,7 @@
 from lotusstream import interface as api
 from lotusstream.cells import move as moving
 from lotusstream.cells.move import CannotMove, Move, Step, Terms
-from lotusstream.cells.plan import Cell, Empty, Members, Plan, engines_for, members
+from lotusstream.cells.plan import Cell, Empty, Members, Plan, crossing, engines_for, members
 from lotusstream.cells.poison import PoisonJudge, PoisonTerms
 from lotusstream.interface import State
 
@@ -144,6 +144,7 @@
         self._ward: dict[str, int] = {}  # tenants in quarantine for their blame, since when
         self._shut: dict[str, int] = {}  # refused until then, where no quarantine takes them
         self._judged_at = 0
+        self._marked: dict[str, int] = {}  # when a tenant last sent something that carries a mark
         self.plan, self._terms, self._profiles = plan, terms, profiles
         self._listed: dict[api.EngineId, api.Engine] = {}
         self._members = Members({}, (), ())
@@ -250,11 +251,16 @@
         serving = self._serving(cell, command)
         if not serving and cell.empty is Empty.BORROW and not cell.quarantine and cell.lender is not None:
             lender = self.plan.cell(cell.lender)
-            if lender is not None and self._serving(lender, command):
+            if lender and self._serving(lender, command) and not self._crosses(command, cell, lender):
                 cell, serving = lender, True
         told = self._enter(command, cell)
         return told, not serving
 
+    def _crosses(self, command: OpenCommand, cell: Cell, lender: Cell) -> bool:
+        """A repeat of what ran here would be new there: its engines do not drop it."""
+        profile = self._profiles[command.profile]
+        return bool(crossing(self.plan, cell, lender, self._listed.values(), {"": profile}))
+
     def _serving(self, cell: Cell, command: OpenCommand) -> bool:
         profile = self._profiles[command.profile]
         return any(
@@ -322,6 +328,8 @@
         if (found := self._open.get(command)) is not None:
             if self._poison is not None and found.tenant is not None:
                 self._poison.sent(now, found.tenant, engine)
+            if found.tenant is not None and self._profiles[found.profile].effect is api.Effect.UNIQUED:
+                self._marked[found.tenant] = now
             number = self._sends.get(command, 0)
             self._sends[command] = number + 1
             found.sent = True
@@ -434,6 +442,9 @@
         if self._poison is not None and now - self._judged_at >= JUDGE_EVERY:
             self._judged_at = now
             told += self._judge(now, self._poison)
+        if self._marked:
+            rest = self._terms.rest
+            self._marked = {tenant: at for tenant, at in self._marked.items() if now - at < rest}
         for tenant, move in list(self.moves.items()):
             if move.step in moving.OVER or tenant in self._writing:
                 continue
@@ -532,12 +543,20 @@
 
     def _replan(self, now: int, plan: Plan) -> Told:
         """Open commands stay where they were taken to, while that cell is there; moves to or from a cell
-        that is no more are undone."""
+        that is no more are undone. A tenant that may have marks remembered in its old cell is not switched at
+        once: it stays there and is moved, as by hand."""
         names = {cell.name for cell in plan.cells}
         kept = plan.moved
+        homes = {tenant: self.plan.home(tenant) for tenant in self._marked}
         for tenant, where in self.plan.moved.items():
             if where in names:
                 kept = kept.set(tenant, where)
+        moving_on: list[tuple[str, str]] = []
+        for tenant, old in homes.items():
+            new = replace(plan, moved=kept).home(tenant)
+            if new != old and old in names:
+                kept = kept.set(tenant, old)
+                moving_on.append((tenant, new))
         self.plan = replace(plan, version=self.plan.version + 1, moved=kept)
         for cell in plan.cells:
             self._pools.setdefault(cell.name, len(self._pools))
@@ -545,6 +564,9 @@
         for tenant, move in list(self.moves.items()):
             if move.step not in moving.NO_WAY_BACK and not {move.source, move.target} <= names:
                 told += self._abort(now, tenant, "the plan was read anew without its cell")
+        for tenant, new in moving_on:
+            if not self._moving(tenant):
+                told += self._begin(now, tenant, new, "the plan was read anew")
         return told
 
 
--- a/lotusstream/cells/plan.py
+++ b/lotusstream/cells/plan.py
@@ -176,12 +176,10 @@
     standing = members(plan, listed)
     for engine in standing.homeless:
         name = engine.id.decode("latin-1")
-        yield Unfit(
-            "", f"engine {name} is in no cell", "let a cell take it: engines all, in the last one", False
-        )
+        yield Unfit("", f"engine {name} is in no cell", "let a last cell take the rest: engines all")
     for engine, one, other in standing.doubled:
         name = engine.id.decode("latin-1")
-        yield Unfit(other, f"engine {name} is in '{one}' already", f"leave it out here, or in '{one}'")
+        yield Unfit(other, f"engine {name} belongs to '{one}', which comes first", "this may be meant", False)
     for cell in plan.cells:
         inside = standing.engines[cell.name]
         if not inside:
--- a/lotusstream/operator/cells.py
+++ b/lotusstream/operator/cells.py
@@ -260,4 +260,5 @@
     for each in unfit(plan, around.engines, around.profiles) if around.engines else ():
         if each.grave:
             at = places.get(each.cell, block)
-            yield Problem(file, at.line, at.column, f"cell {each.cell}: {each.what}", each.hint)
+            what = f"cell {each.cell}: {each.what}" if each.cell else each.what
+            yield Problem(file, at.line, at.column, what, each.hint)
--- a/tests/cells/test_moves.py
+++ b/tests/cells/test_moves.py
@@ -289,6 +289,25 @@
     assert host.step() is Step.UNDONE and host.sent[host.take()]
 
 
+def test_a_plan_that_puts_a_tenant_elsewhere_moves_it_where_marks_may_be_remembered() -> None:
+    host = Host()
+    for tenant, profile in (("uni-a", 1), ("uni-b", 0)):
+        host.end(host.take(tenant, profile))
+    host.tell(NewPlan(plan(tenants=NameTrie([("uni-*", "west")]))))
+    assert host.zones(host.take("uni-b")) == {1} and host.step("uni-b") is None
+    assert host.keeper.plan.home("uni-a") == "east" and host.step("uni-a") is not None
+    host.pass_time(12 * S)
+    assert host.step("uni-a") is Step.DONE and host.zones(host.take("uni-a")) == {1}
+
+
+def test_what_carries_a_mark_is_not_sent_to_a_lender_whose_engines_do_not_know_it() -> None:
+    host = Host(plan(cells=(Cell("east", (EAST,), empty=Empty.BORROW, lender="west"), Cell("west", (WEST,)))))
+    gone = tuple(replace(each, state=api.State.GONE) for each in FLEET[:2])
+    host.tell(api.EngineNews(api.ListKind.CHANGES, gone))
+    marked = host.take(profile=1)
+    assert not host.sent.get(marked) and host.finals(marked) and host.zones(host.take()) == {1}
+
+
 def test_a_cell_that_is_empty_refuses_or_borrows_as_told() -> None:
     gone = tuple(replace(each, state=api.State.GONE) for each in FLEET[:2])
     for cell, answered in (
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -50,6 +51,16 @@
     assert found.ladder.levels[0].admit == {"lookup": 0.75} and found.ladder.quiet == 30 * S
 
 
+def test_the_shipped_cells_are_read_whole() -> None:
+    found = load_operator_file(str(SHIPPED.parent / "cells.conf"))
+    assert found.cells is not None and [cell.name for cell, _ in found.cells.cells] == [
+        "ward",
+        "state",
+        "shared",
+    ]
+    assert found.cells.poison is not None and found.cells.poison.cell == "ward"
+
+
 def test_an_empty_file_asks_for_nothing() -> None:
     found = read_operator_file("\n# nothing\n\t \r\n", "f")
     assert (found.control, found.log, found.ladder) == (None, None, None)
@@ -161,6 +172,32 @@
         assert each is tmp_path or says in str(caught.value)
 
 
+def test_cells_are_held_against_the_gateways_own_engines() -> None:
+    kinds, zones = ("c8", "c12"), ("east", "west")
+    report = replace(profile(8.0, S), kinds=frozenset({1}))
+    listed = (
+        api.Engine(b"s-1", api.State.READY, 0, 0, 1, 0), api.Engine(b"s-2", api.State.READY, 1, 0, 0, 0),
+    )  # fmt: skip
+    around = Surroundings({"report": report}, zones, kinds, listed)
+
+    def told(*each: str) -> list[str]:
+        with pytest.raises(UnusableOperatorFile) as caught:
+            read_operator_file(cells(*each), "f", around)
+        return [str(problem) for problem in caught.value.problems]
+
+    assert told("a\n engines zone eas") == ["f:5:2: no zone is called 'eas'; did you mean 'east'?"]
+    (no_c12,) = told("a\n engines zone east", "b\n engines zone west")
+    assert no_c12.startswith("f:7:1: cell b: no engine here may serve report; add an engine that it is bound")
+    assert told("a\n engines all", "b\n engines kind c12")[0].startswith(
+        "f:7:1: cell b: no engine belongs to it"
+    )
+    assert told("a\n engines zone east")[0].startswith(
+        "f:1:1: engine s-2 is in no cell; let a last cell take"
+    )
+    lent = cells("a\n engines zone east", "b\n engines zone west\n empty borrow a")
+    assert read_operator_file(lent, "f", around).cells is not None
+
+
 def test_what_cannot_change_while_running_is_named() -> None:
     def read(text: str) -> OperatorFile:
         return read_operator_file(text, "f")
