A keeper of levels forgets what was open when the module begins anew

Seen in a last reading: commands that failed with a module stayed open in the keeper's counts and would have counted as held for ever. The story of a module that began anew now looks at it; it fails without the change.

--- a/lotusstream/levels/gauge.py
+++ b/lotusstream/levels/gauge.py
@@ -91,6 +91,11 @@
             case Health():
                 self._health = (now, fact)
 
+    def begun_anew(self) -> None:
+        """The module knows nothing any more, and all that was open has failed."""
+        for kept in (self._open, self._out, self._sends, self._done):
+            kept.clear()
+
     def _arrived(self, now: int, fact: api.Arrived) -> None:
         profile, usual = self._given.profiles[fact.profile], self._usual(now, fact.profile)
         work = float(fact.hint or usual)  # a hint that is wrong is so in what is asked and what is done alike
--- a/lotusstream/levels/keeper.py
+++ b/lotusstream/levels/keeper.py
@@ -106,6 +106,8 @@
                 return self._tick(now) if self._last is None or now - self._last >= self.every else []
             case api.Stopping():
                 self._stopping = True
+            case api.Started():
+                self._gauge.begun_anew()
             case Hold():
                 return self._take_hold(now, event)
             case Release():
@@ -377,6 +379,7 @@
             return self._tell(now, self._ask(now, event))
         actions = self._module(now, event)
         if isinstance(event, api.Started):  # a module that began anew knows of no level
+            self._ask(now, event)
             if (reduced := self.keeper.in_force()) is not None:
                 actions = actions + self._module(now, reduced)
             return actions
--- a/tests/levels/test_keeper.py
+++ b/tests/levels/test_keeper.py
@@ -240,8 +240,10 @@
     keeper = LevelKeeper(ladder(), started(), ("lookup", "report"))
     Beside(Gateway().handle, keeper).handle(S, started())
     keeper.handle(S, Hold("lifeline", 600 * S))
+    keeper.handle(S, api.Arrived(900, 1, WORK_HINT, None, 25 * S, 1, None))
     anew = Beside(Gateway().handle, keeper)
     anew.handle(S, started())
+    assert not keeper._gauge._open  # what was open has failed: it would count as held for ever
     shed = [anew.handle(S, api.Arrived(n, 0, WORK_HINT, None, 6 * S, 1, None)) for n in range(50)]
     assert sum(any(isinstance(a, api.Shed) and a.reduced for a in actions) for actions in shed) > 35
 
