--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from typing import Any
 
 from immutables import Map
@@ -15,8 +16,8 @@
 from lotusstream import interface as api
 from lotusstream.cells.blame import Blame
 from lotusstream.cells.draw import shard, shared_all, shared_some
-from lotusstream.cells.keeper import CellKeeper, InCells
-from lotusstream.cells.move import terms
+from lotusstream.cells.keeper import CellKeeper, InCells, MoveTenant, Written, moves_in
+from lotusstream.cells.move import Move, Step, terms
 from lotusstream.cells.plan import Cell, Engines, Plan, Source, TenantSource
 from lotusstream.cells.trie import NameTrie
 from lotusstream.policy import Gateway
@@ -122,6 +123,79 @@
     }  # fmt: skip
 
 
+HOLD, MOVE_EVERY = 2 * S, 2 * S
+
+
+class Moves(Tenants):
+    """Every tenant is moved on to the next cell, one begun in each two seconds, under load."""
+
+    def __init__(self, seed: int) -> None:
+        self.keeper = CellKeeper(three_cells(), terms(PROFILES, HOLD, 30 * S), PROFILES)
+        self.written: list[Move] = []
+        module = InCells(Gateway().handle, self.keeper, self._write, lambda _: None)
+        super().__init__(Script(END, rate, engines=((0, 8.0),) * 3 + ((1, 8.0),) * 3), seed, module, False)
+        self.came: dict[int, int] = {}
+        self.longest, self.behind = 0, 0
+        self.finals: dict[int, int] = {}
+
+    def _write(self, move: Move) -> None:
+        self.written.append(move)
+        self.at(self.now + 5_000, lambda: self._wish(Written(move)))
+
+    def run(self) -> Outcome:
+        for at, tenant in enumerate(TENANTS):
+            target = f"cell-{(at + 1) % 3}"
+            self.at((5 + at * MOVE_EVERY / S) * S, partial(self._move, tenant, target))
+        return super().run()
+
+    def _move(self, tenant: str, target: str) -> None:
+        self._wish(MoveTenant(tenant, target, "benchmark"))
+
+    def _wish(self, event: MoveTenant | Written) -> None:
+        self._act(self.module.handle(self.now, event))  # type: ignore[arg-type]
+
+    def tell(self, event: api.Event) -> None:
+        if isinstance(event, api.Arrived):
+            self.came[event.command] = self.now
+        super().tell(event)
+
+    def _act(self, actions: list[api.Action]) -> None:
+        for action in actions:
+            if isinstance(action, api.Send | api.Shed | api.Fail):
+                came = self.came.pop(action.command, None)
+                if came is not None and self.now > came:
+                    self.behind += 1
+                    self.longest = max(self.longest, self.now - came)
+            if isinstance(action, api.Shed | api.Fail):
+                self.finals[action.command] = self.finals.get(action.command, 0) + 1
+        super()._act(actions)
+
+    def _answered(self, command: int) -> None:
+        if command in self.open:
+            self.finals[command] = self.finals.get(command, 0) + 1
+        super()._answered(command)
+
+
+def play_moves(seed: int) -> dict[str, Any]:
+    fleet = Moves(seed)
+    out = fleet.run()
+    ended = [move for move in fleet.written if move.step in (Step.DONE, Step.UNDONE)]
+    wrong = [
+        name for at, name in enumerate(TENANTS) if fleet.keeper.plan.home(name) != f"cell-{(at + 1) % 3}"
+    ]
+    bad = sum(
+        moves_in(fleet.written[:point], 0).get(move.tenant, move).step not in (Step.DONE, Step.UNDONE)
+        for point, move in enumerate(fleet.written, 1)
+    )
+    return {
+        "moves": len(ended), "undone": sum(move.step is Step.UNDONE for move in ended),
+        "not_there": len(wrong),
+        "commands": len(fleet.finals), "twice": sum(count > 1 for count in fleet.finals.values()),
+        "lost": out.lost, "broken": out.broken, "behind": fleet.behind, "longest": fleet.longest / 1000,
+        "points": len(fleet.written), "bad": bad,
+    }  # fmt: skip
+
+
 def timed(act: Callable[[], object], least: float = 0.2) -> float:
     """Nanoseconds of one call, the best of three rounds."""
     best = float("inf")
@@ -196,7 +270,7 @@
 def measure() -> tuple[list[str], dict[str, Any]]:
     jobs = [(variant, poison, seed) for variant in PLANS for poison in (True, False) for seed in SEEDS]
     with ProcessPoolExecutor() as pool:
-        found = list(pool.map(play, jobs))
+        found, moved = list(pool.map(play, jobs)), list(pool.map(play_moves, SEEDS))
 
     def mean(variant: str, poison: bool, what: str = "others") -> float:
         each = [float(r[what]) for r in found if r["variant"] == variant and r["poison"] is poison]
@@ -216,7 +290,18 @@
         "others_service_no_poison": mean("cells", False, "outside"),
         "others_service_no_poison_without_cells": mean("without", False),
         "all_others_service_with_poison": mean("cells", True),
-        "lost": sum(r["lost"] for r in found),
-        "rules_broken": sum(r["broken"] for r in found),
+        "lost": sum(r["lost"] for r in (*found, *moved)),
+        "rules_broken": sum(r["broken"] for r in (*found, *moved)),
+        "moves": sum(r["moves"] for r in moved),
+        "moves_undone": sum(r["undone"] for r in moved),
+        "moved_tenants_elsewhere": sum(r["not_there"] for r in moved),
+        "moved_commands": sum(r["behind"] for r in moved),
+        "answered_once": sum(r["commands"] - r["twice"] for r in moved),
+        "answered": sum(r["commands"] for r in moved),
+        "doubled": sum(r["twice"] for r in moved),
+        "longest_hold_ms": max(r["longest"] for r in moved),
+        "hold_bound_ms": HOLD / 1000,
+        "crash_points": sum(r["points"] for r in moved),
+        "crash_points_bad": sum(r["bad"] for r in moved),
     }
     return lines, told | structures()[1]
