--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -129,6 +129,15 @@
                 if restarted or not ready:
                     self._pool.clear()
 
+    def _say(self, kind: str, text: str, running: Running) -> None:
+        self.supervisor.log.say(
+            kind,
+            f"{self.name}: {text}",
+            engine=self.engine.decode(),
+            command=running.start.command,
+            profile=running.start.profile,
+        )
+
     def trim(self) -> None:
         self._pool.trim()
 
@@ -216,7 +225,7 @@
                 if answer.status == http.ERROR:  # after a break: it knows of no such query
                     return Outcome.RESET if tries else Outcome.ERROR
                 self.supervisor.counters.add("answers spoilt")
-                self.supervisor.log.say("answer spoilt", f"{self.name}: status {answer.status}")
+                self._say("answer spoilt", f"status {answer.status}", running)
             except CannotConnect as error:
                 running.heard = False
                 if isinstance(error, Refused):
@@ -225,7 +234,7 @@
             except CallBroken as error:
                 running.heard = False
                 self.supervisor.counters.add("calls broken")
-                self.supervisor.log.say("call broken", f"{self.name}: {error}")
+                self._say("call broken", str(error), running)
                 if isinstance(error, CallSilent):
                     usable = self._clock.now()
             if self._clock.now() - usable >= http.FORGOTTEN_AFTER and not running.ended:
@@ -243,7 +252,7 @@
             page = await self._ask(running, None, request, request, read)
             if isinstance(page, Outcome):
                 self.supervisor.counters.add("pages lost")
-                self.supervisor.log.say("page lost", f"{self.name}: {number} of {news.pages}, {page.name}")
+                self._say("page lost", f"{number} of {news.pages}, {page.name}", running)
                 return self._end(running, page)
             if len(rows) + len(page) > http.RESULT_BYTES:
                 return self._end(running, Outcome.ERROR)
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -343,6 +343,16 @@
         assert not operated.lines("operator")
 
 
+async def test_a_line_about_an_engine_has_its_fields(operated: Operated) -> None:
+    client = await operated.start()
+    operated.engines[0].acts, operated.engines[0].pages = "loses pages", [b"1\t2\t3\n"] * 2
+    with pytest.raises(Failed):
+        await client.answer(client.ask("booking"))
+    line = await operated.line("page lost")
+    assert (line["engine"], line["profile"], line["severity"]) == ("s-1", "booking", "warning")
+    assert line["command"] == 1 and line["text"].startswith("engine s-1: ")
+
+
 async def test_a_broken_operator_file_is_told_whole_before_the_start(operated: Operated) -> None:
     operated.operate("contrl /x\nlog xml\n")
     for party in (operated.board, *operated.engines):
