A story for all that is refused at one moment and does not come again at one

Need: the hard case was held by the spread of advice among some of the refused only. Three hundred refused at once now have their returns counted in 50 ms: under a third in any.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,5 +1,6 @@
 """Short stories, one for each rule and each failure met."""
 
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -409,6 +410,13 @@
     assert not host.finals(host.take(timeout=3 * S))
 
 
+def test_all_that_is_refused_at_one_moment_does_not_come_again_at_one(host: Host) -> None:
+    host.tell(reduced(0.0))
+    refused = [host.finals(host.take())[0] for _ in range(300)]
+    returns = Counter(each.come_back_after // (50 * MS) for each in refused if isinstance(each, api.Shed))
+    assert sum(returns.values()) == 300 and max(returns.values()) < 100
+
+
 def test_a_level_answers_what_it_holds_unsent_and_leaves_alone_what_may_have_run() -> None:
     host = Host()
     host.engines(engine(1))
