Of many gateways none sees the widest engine as the least crowded: lots decide

Ruled out: homes (loads avoid those), warmth (a load's stall comes first), the bound (the same for both kinds).

Cause: policy.py, _place. crowd = others + (own threads there + the command's) / cores. Past one thread a core over all gateways, a command's own thread makes 1/12 of a core's crowd there and 1/8 here: at every gateway c12 is the strictly least crowded, and the lots by what each has to spare (bound work left out) never get to decide.

Change: a gateway that is one of many counts only the threads it already has out there. Where it is alone or one of two, nothing changes. One story, which fails without.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -488,9 +488,10 @@
         the group warm; then the home."""
         options = []
         homes = self._homes(cmd) if self.share < 0.5 else []
+        own = cmd.profile.threads if self.share >= 0.5 else 0  # guards wide engines against all gateways
         fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
         for be in [be for be in fit if be not in cmd.erred] or fit:
-            crowd = be.pool.others + (be.threads + cmd.profile.threads) / be.cores
+            crowd = be.pool.others + (be.threads + own) / be.cores
             crowd /= self.duties.cold_from if self._cold(be) else 1.0
             warm = be in homes if homes else cmd.group in be.warm
             home = (-float(be.warm[cmd.group]) if warm and cmd.group in be.warm
--- a/tests/fleet/test_lots.py
+++ b/tests/fleet/test_lots.py
@@ -2,13 +2,14 @@
 
 from collections import Counter
 
-from conftest import Host, engine
+from conftest import LOAD, Host, engine
 
 from lotusstream import interface as api
 from lotusstream.interface import Outcome
 from lotusstream.lots import drawn
 
 ENGINES = [b"s-%08x" % (7919 * number * number % 2**32) for number in range(72)]
+KINDS = (api.Kind(8.0, 0.0), api.Kind(12.0, 0.0))
 
 
 def test_two_seeds_order_engines_independently() -> None:
@@ -28,3 +29,17 @@
         found[host.sends(command)[0].engine] += 1
         host.end(command, Outcome.ANSWERED)
     assert max(found.values()) <= 25  # of ten each
+
+
+def test_of_many_gateways_none_sees_the_widest_engines_as_the_least_crowded() -> None:
+    """A command's own threads weigh less on a wider engine, at every gateway alike: all went there."""
+    engines = [engine(1, id=name, kind=at % 2) for at, name in enumerate(ENGINES)]
+    wide = 0
+    for number in range(100):
+        host = Host(seed=number, gateways=200, profiles=(LOAD,), kinds=KINDS)
+        host.engines(*engines)
+        for group in range(3):
+            host.take(group=group)
+        latest = host.take(group=4)
+        wide += host.sends(latest)[0].engine in {entry.id for entry in engines if entry.kind}
+    assert 40 <= wide <= 80  # of 60 by cores
