What profiles ask is learnt from the first commands on, and over one span for all

Cause: policy.py, _take and Usual. And each profile's sum went back four of its own client timeouts: after 24 s of steady work reports looked up to four times as much work as they were.

Change: shared out anew whenever the commands seen in an epoch have doubled; one span for all sums. Two stories, which fail without.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -33,10 +33,11 @@
 class Usual:
     """What a profile's commands usually take, learnt from whatever the deployment tells."""
 
-    def __init__(self, profile: api.Profile) -> None:
+    def __init__(self, profile: api.Profile, longest: int) -> None:
         self.guess = profile.target * profile.threads / 2.0
         span = 4 * profile.client_timeout
-        self.work, self.hints, self.asked, self.paces = (Ring(span, BUCKETS) for _ in range(4))
+        self.work, self.hints, self.paces = (Ring(span, BUCKETS) for _ in range(3))
+        self.asked = Ring(4 * longest, BUCKETS)  # of all profiles over one span: they are compared
 
     def mean(self, now: int) -> float:
         return self.work.mean(now, self.guess, 1.0)
@@ -136,7 +137,8 @@
         self._share_out()
 
     def _new_pool(self) -> Pool:
-        usual = [Usual(profile) for profile in self.given.profiles]
+        longest = max(profile.client_timeout for profile in self.given.profiles)
+        usual = [Usual(profile, longest) for profile in self.given.profiles]
         return Pool(Ring(8 * self.shortest, BUCKETS), usual)
 
     def _confine(self, event: api.Confined) -> None:
@@ -186,8 +188,10 @@
         usual.asked.add(self.now, work)
         if self.now // (16 * self.shortest) != self.epoch:
             self.epoch, self.earlier, self.groups = self.now // (16 * self.shortest), self.groups, Counter()
-            self._share_out()
         self.groups[cmd.group] += 1
+        seen = self.groups.total()  # guards bound engines from the first commands on, not an epoch later
+        if not seen & (seen - 1):
+            self._share_out()
         self.unprobed += 1
         if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand and self.ready:
             self.unprobed, self.probed = 0, self.probed + 1
--- a/tests/fleet/test_lots.py
+++ b/tests/fleet/test_lots.py
@@ -1,8 +1,9 @@
 """What many quiet gateways do alike: the lots that they draw, and what comes together from all of them."""
 
 from collections import Counter
+from dataclasses import replace
 
-from conftest import LOAD, Host, engine
+from conftest import BOUND, LOAD, LOOKUP, MS, PROFILES, Host, S, engine
 
 from lotusstream import interface as api
 from lotusstream.interface import Outcome
@@ -43,3 +44,27 @@
         latest = host.take(group=4)
         wide += host.sends(latest)[0].engine in {entry.id for entry in engines if entry.kind}
     assert 40 <= wide <= 80  # of 60 by cores
+
+
+def test_free_commands_spare_bound_engines_after_a_few_commands() -> None:
+    """Not only from the next epoch on, 16 shortest targets later: half a day is over by then."""
+    host = Host(gateways=200)
+    host.engines(*(engine(1, id=name, kind=at % 2) for at, name in enumerate(ENGINES)))
+    for group in range(32):
+        host.end(host.take(profile=PROFILES.index(BOUND), group=group), Outcome.ANSWERED, after=MS)
+        host.end(host.take(group=group), Outcome.ANSWERED, after=MS)
+    free = [host.sends(host.take(group=group))[0].engine for group in range(100, 160)]
+    assert sum(ENGINES.index(name) % 2 for name in free) < 20  # a third; half would be even
+
+
+def test_what_profiles_ask_is_compared_over_one_span() -> None:
+    """Each profile's sum went back four of its own client timeouts: bound work looked four times as much."""
+    host = Host(gateways=200, profiles=(LOOKUP, replace(BOUND, client_timeout=25 * S)))
+    host.engines(*(engine(1, id=name, kind=at % 2) for at, name in enumerate(ENGINES)))
+    for second in range(100):
+        for profile in (0, 0, 0, 0, 0, 1):
+            command = host.take(profile=profile, group=second % 9, timeout=6 * S)
+            host.end(command, Outcome.ANSWERED, after=100 * MS)
+    host.engines(kind=api.ListKind.CHANGES)
+    spared = [be.spare / be.cores for be in host.gateway.ready if be.entry.kind]
+    assert min(spared) > 0.6  # a sixth of the work on half of the engines
