Each engine is home to as many groups as it keeps warm, instead of each group drawing homes

Cause: policy.py, _homes. 28 groups each drew some three homes among 72 engines by themselves: a third of the engines is home to no group and some are to three hot ones, at all gateways alike.

Change: an engine is home to WARM_GROUPS groups, by lots weighted with what a group draws, so that a hot group has more homes; among its homes a command's own lot decides, no longer where this gateway ran the group last, which says little of what 200 keep warm. One story, which fails without. SPREAD is gone.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -11,6 +11,7 @@
 import zlib
 from collections import Counter, deque
 from dataclasses import replace
+from heapq import nsmallest
 
 from lotusstream import interface as api
 from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, State
@@ -27,7 +28,6 @@
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
-SPREAD = 2.0  # homes of a group: its share of the commands, in engines, times this
 
 
 class Usual:
@@ -454,6 +454,8 @@
         """Guards engines that some profile is bound to against work that could go elsewhere: what a command
         free to go anywhere sees of an engine is what the bound ones are thought to leave."""
         self.homes.clear()
+        if self.share < 0.5:
+            self._keep_groups()
         asked = [sum([pool.usual[at].asked.total(self.now)[0] for pool in self.pools.values()])
                  for at in range(len(self.given.profiles))]  # fmt: skip
         level = sum(asked) / max(1.0, sum([be.cores for be in self.ready]))  # work asked for a core
@@ -471,21 +473,29 @@
         return -math.log(drawn(be.entry.id, seed)) / (be.cores if profile.bound else be.spare)
 
     def _homes(self, cmd: Command) -> list[Backend]:
-        """The engines where all gateways run a group, agreed without a word by hashing both: more of them
-        for a group that draws more of the commands."""
+        """The engines where all gateways run a group, agreed without a word by hashing both: two at least.
+        Each is home to as many groups as it keeps warm, by lots weighted with what these draw of commands:
+        guards engines against being home to many hot groups while others are home to none."""
         group, profile = cmd.group, cmd.profile
         name = (group, profile.zones, profile.kinds, cmd.cell)
         if name not in self.homes:
-            seed = zlib.crc32(group.to_bytes(8, "little", signed=True))
-            inside = (
-                None if cmd.cell is None else self.cells[cmd.cell].engines if cmd.cell in self.cells else ()
-            )
+            inside = self.cells[cmd.cell].engines if cmd.cell in self.cells else ()
             fit = [be for be in self.ready if profile.open_to(be.entry)
-                   and (inside is None or be.entry.id in inside)]  # fmt: skip
-            self.homes[name] = sorted(fit, key=lambda be: (self._draw(seed, profile, be), be.entry.id))
-        seen = self.groups[group] + self.earlier[group]
-        part = (seen + 1) / (self.groups.total() + self.earlier.total() + 2 * len(self.ready))
-        return self.homes[name][: 1 + math.ceil(SPREAD * part * len(self.homes[name]))]
+                   and (cmd.cell is None or be.entry.id in inside)]  # fmt: skip
+            seed = zlib.crc32(group.to_bytes(8, "little", signed=True))
+            fit.sort(key=lambda be: (group not in be.keeps, self._draw(seed, profile, be), be.entry.id))
+            every = self.groups + self.earlier
+            part = every[group] / (every.total() + len(self.ready))  # few samples: few homes
+            kept = sum([group in be.keeps for be in fit])
+            self.homes[name] = fit[: max(2, min(int(WARM_GROUPS * part * len(fit)), kept))]
+        return self.homes[name]
+
+    def _keep_groups(self) -> None:
+        seen = [(zlib.crc32(group.to_bytes(8, "little", signed=True)), group, count)
+                for group, count in (self.groups + self.earlier).items()]  # fmt: skip
+        for be in self.ready:
+            lots = [(-math.log(drawn(be.entry.id, seed)) / n, group) for seed, group, n in seen]
+            be.keeps = {group for _, group in nsmallest(WARM_GROUPS, lots)}
 
     def _place(self, cmd: Command, roomy: list[Backend]) -> tuple[float, float, float, Backend] | None:
         """The least stall, then the choice among equals: crowding, the engine's speed, and whether it keeps
@@ -498,7 +508,7 @@
             crowd = be.pool.others + (be.threads + own) / be.cores
             crowd /= self.duties.cold_from if self._cold(be) else 1.0
             warm = be in homes if homes else cmd.group in be.warm
-            home = (-float(be.warm[cmd.group]) if warm and cmd.group in be.warm
+            home = (-float(be.warm[cmd.group]) if warm and not homes
                     else self._draw(cmd.lot, cmd.profile, be))  # fmt: skip
             cost = max(1.0, crowd) * max(1.0, be.pace / be.pool.calm) * (WARM_WORTH if warm else 1.0)
             options.append((self._added_stall(cmd, be), cost, home, be))
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -80,6 +80,7 @@
         self.threads, self.out = 0, dict[int, tuple[Command, Try]]()  # by command and send
         self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
         self.warm: dict[int, int] = {}  # groups last run here, oldest first
+        self.keeps: set[int] = set()  # groups that it is an agreed home to
         self.paces, self.pace = paces, 1.0  # recent latency over what the work would take alone
         self.overdue, self.pressed = 0.0, False  # the pace that sends still out already show
         self.stuck = 0.0  # the same with those that stand behind loads: they hold memory
--- a/tests/fleet/test_lots.py
+++ b/tests/fleet/test_lots.py
@@ -68,3 +68,18 @@
     host.engines(kind=api.ListKind.CHANGES)
     spared = [be.spare / be.cores for be in host.gateway.ready if be.entry.kind]
     assert min(spared) > 0.6  # a sixth of the work on half of the engines
+
+
+def test_groups_of_many_gateways_fill_the_engines_evenly() -> None:
+    """Where each group drew its homes by itself, some engines were home to many groups, others to none."""
+    found: Counter[api.EngineId] = Counter()
+    for number in range(10):
+        host = Host(seed=number, gateways=200)
+        host.engines(*(engine(1, id=name) for name in ENGINES))
+        for group in list(range(5, 201, 7)) * 5:
+            command = host.take(group=group)
+            found[host.sends(command)[0].engine] += 1
+            host.end(command, Outcome.ANSWERED, after=MS)
+    mean = found.total() / len(ENGINES)
+    assert sum(found[name] < mean / 4 for name in ENGINES) <= 10  # 20 were home to none
+    assert max(found.values()) < 3 * mean
