A send given up tells its engine's pace by its told end, and its command goes elsewhere

Cause: policy.py, _reconsider and _place. A send given up was learnt at its age: 1.8 s for work of 2.5 s alone, so a jammed engine looked faster than idle, to the choice and to what is called overlong. And the lot that a command drew once drew the same engine again.

Change: learnt is what its notes say it would have taken, up to RUNAWAY times its work; engines where a command was given up are chosen again only where there is no other.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -504,7 +504,7 @@
         homes = self._homes(cmd) if self.share < 0.5 else []
         own = cmd.profile.threads if self.share >= 0.5 else 0  # guards wide engines against all gateways
         fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
-        for be in [be for be in fit if be not in cmd.erred] or fit:
+        for be in [be for be in fit if be not in cmd.failed_at] or fit:
             crowd = be.pool.others + (be.threads + own) / be.cores
             crowd /= self.duties.cold_from if self._cold(be) else 1.0
             warm = be in homes if homes else cmd.group in be.warm
@@ -642,5 +642,5 @@
             self._cancel(cmd, a_try)
         elif total > RUNAWAY * fresh * 2**cmd.overlong and late and not profile.loads and not a_try.stalled:
             cmd.overlong += 1
-            self._learn_pace(be, cmd, age, alone)
+            self._learn_pace(be, cmd, int(max(age, min(total, RUNAWAY * alone))), alone)  # not its short age
             self._cancel(cmd, a_try)
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -53,6 +53,11 @@
         """The engines that answered it with an error."""
         return {a_try.be for a_try in self.tries if a_try.outcome is api.Outcome.ERROR}
 
+    @property
+    def failed_at(self) -> set[Backend]:
+        """The engines that answered it with an error, or where it was given up."""
+        return {a_try.be for a_try in self.tries if a_try.doomed} | self.erred
+
     @property
     def ran(self) -> list[Try]:
         """The sends that may have run."""
