Many gateways give cold engines their part of the lots instead of keeping off them

Ruled out: the cold budget (0.05 s of work a second and gateway, of 200; in ten seconds a lookup of each gateway, more than a cold engine can do), the list, connections (22 of 14,000 sends without one).

Cause: policy.py, _place. The threads of other gateways, taken as the same on every engine, are divided by the cold part: a cold engine looks 2.5 times as crowded as a warm one, at every gateway, so nobody comes and the rest drown.

Change: a gateway that is one of many gives a cold engine its cold part of the lots. The budget holds as before.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -505,11 +505,11 @@
         own = cmd.profile.threads if self.share >= 0.5 else 0  # guards wide engines against all gateways
         fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
         for be in [be for be in fit if be not in cmd.failed_at] or fit:
-            crowd = be.pool.others + (be.threads + own) / be.cores
-            crowd /= self.duties.cold_from if self._cold(be) else 1.0
+            part = self.duties.cold_from if self._cold(be) else 1.0  # of the commands, or of its room alone
+            crowd = (be.pool.others + (be.threads + own) / be.cores) / (part if own else 1.0)
             warm = be in homes if homes else cmd.group in be.warm
             home = (-float(be.warm[cmd.group]) if warm and not homes
-                    else self._draw(cmd.lot, cmd.profile, be))  # fmt: skip
+                    else self._draw(cmd.lot, cmd.profile, be) / (1.0 if own else part))  # fmt: skip
             cost = max(1.0, crowd) * max(1.0, be.pace / be.pool.calm) * (WARM_WORTH if warm else 1.0)
             options.append((self._added_stall(cmd, be), cost, home, be))
         return min(options, key=lambda option: option[:3], default=None)
