Where a command failed is worked out once a placement, not once an engine

Cause: policy.py, _place read cmd.failed_at, which builds two sets, for each of up to 80 engines at every placement. Change: read once. What is decided is the same; the stories of the module, the fleet and the wire pass.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -504,7 +504,8 @@
         homes = self._homes(cmd) if self.share < 0.5 else []
         own = cmd.profile.threads if self.share >= 0.5 else 0  # guards wide engines against all gateways
         fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
-        for be in [be for be in fit if be not in cmd.failed_at] or fit:
+        failed_at = cmd.failed_at
+        for be in [be for be in fit if be not in failed_at] or fit:
             part = self.duties.cold_from if self._cold(be) else 1.0  # of the commands, or of its room alone
             crowd = (be.pool.others + (be.threads + own) / be.cores) / (part if own else 1.0)
             warm = be in homes if homes else cmd.group in be.warm
