--- /dev/null
+++ b/benchmarks/planted_leases.py
@@ -0,0 +1,197 @@
+"""Defects planted on purpose in the quorum and the leases: each has to be caught by the seeds."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest import mock
+
+from lotusstream.lab import virtual
+from lotusstream.lab.virtual import Broken, Scene, play
+from lotusstream.leases import holder, table
+from lotusstream.leases.granter import Granter, LeaseTerms
+from lotusstream.quorum import events as ev
+from lotusstream.quorum import messages as ms
+from lotusstream.quorum.journal import Journal
+from lotusstream.quorum.keeper import Keeper
+
+SCENE = Scene()
+
+
+@dataclass(frozen=True, slots=True)
+class Planted:
+    """`breaks`: puts the defect in while it is open. `scene`: where it does harm."""
+
+    name: str
+    breaks: Callable[[], contextlib.AbstractContextManager[Any]]
+    scene: Scene = SCENE
+
+
+def _before_fsync() -> Any:
+    """Votes and acknowledgements leave before what they rest on is on the disk."""
+    say = Keeper._say
+
+    def hasty(self: Keeper, to: str, to_disk: str, body: Any, *, rests: bool) -> None:
+        say(self, to, to_disk, body, rests=False)
+
+    return mock.patch.object(Keeper, "_say", hasty)
+
+
+def _from_the_reply() -> Any:
+    """The holder counts its time from when the answer came."""
+    answered = holder.Holder._answered
+
+    def late(self: holder.Holder, event: holder.Answered) -> None:
+        for each in self._tasks.values():
+            if each.ask == event.ask:
+                each.asked = self._now
+        answered(self, event)
+
+    return mock.patch.object(holder.Holder, "_answered", late)
+
+
+def _no_margin() -> Any:
+    """Holders act to the very end of the lease by their own clock."""
+    make = virtual.VirtualFleet._holder
+
+    def full(self: virtual.VirtualFleet, node: virtual.HolderNode) -> holder.Holder:
+        made = make(self, node)
+        made._terms = replace(self.scene.terms, margin=0)
+        return made
+
+    return mock.patch.object(virtual.VirtualFleet, "_holder", full)
+
+
+def _half_is_enough() -> Any:
+    def half(self: Keeper, disks: set[str]) -> bool:
+        voters = [member.disk for member in self._voters()]
+        return 2 * sum(disk in disks for disk in voters) >= len(voters)
+
+    return mock.patch.object(Keeper, "_majority", half)
+
+
+def _wiped_disk_votes() -> Any:
+    """A wiped disk comes back under its old name, as if nothing had happened."""
+
+    def wiped(self: virtual.VirtualFleet) -> None:
+        node = self._any_keeper()
+        if not self._whole():
+            return
+        assert node.desk is not None
+        keeper = node.desk.keeper
+        first = keeper.journal.snapshot
+        self._down(node)
+        node.disk = virtual.VirtualDisk()
+        founders = ms.Snapshot(0, 0, first.group, first.members)
+        node.disk.synced = [ms.Identity(keeper.disk), ms.Whole(founders)]
+        self._return(node, 100_000)
+
+    trusting = mock.patch("lotusstream.quorum.keeper.older_copy", lambda mine, heard: False)
+    stack = contextlib.ExitStack()
+    stack.enter_context(mock.patch.object(virtual.VirtualFleet, "_fault_wipe", wiped))
+    stack.enter_context(trusting)
+    return stack
+
+
+def _older_copy_votes() -> Any:
+    return mock.patch("lotusstream.quorum.keeper.older_copy", lambda mine, heard: False)
+
+
+def _stale_read() -> Any:
+    """A leader answers reads without asking whether it still leads."""
+
+    def serve(self: Keeper) -> None:
+        self._out += [ev.Ready(reading.ticket) for reading in self._readings]
+        self._readings = []
+
+    return mock.patch.object(Keeper, "_serve_readings", serve)
+
+
+def _forgotten_token() -> Any:
+    """A snapshot without the counter of tokens."""
+    load = table.LeaseTable.load.__func__  # type: ignore[attr-defined]
+
+    def forgets(cls: Any, state: bytes) -> table.LeaseTable:
+        made: table.LeaseTable = load(cls, state)
+        made._next = 1
+        return made
+
+    return mock.patch.object(table.LeaseTable, "load", classmethod(forgets))
+
+
+def _renewals_unseen() -> Any:
+    """The leader runs a lease out though it was renewed meanwhile."""
+    due = Granter.due
+
+    def deaf(self: Granter, now: int, term: int, leases: table.LeaseTable) -> list[table.Expire]:
+        for task, seen in self._seen.items():
+            if (lease := leases.leases.get(task)) is not None and lease.token == seen.token:
+                seen.renewed = lease.renewed
+        return due(self, now, term, leases)
+
+    return mock.patch.object(Granter, "due", deaf)
+
+
+def _no_log_check() -> Any:
+    """A vote for whoever asks, whatever its log lacks."""
+    asked = Keeper._asked
+
+    def kind(self: Keeper, envelope: Any, ask: Any) -> None:
+        better = type(ask)(ask.term, 10**9, 10**9, ask.pre, ask.forced)
+        asked(self, envelope, better)
+
+    return mock.patch.object(Keeper, "_asked", kind)
+
+
+def _cut_is_forgotten() -> Any:
+    """Entries that conflict with the leader's stay where they are."""
+    return mock.patch.object(Journal, "cut", lambda self, first: None)
+
+
+HARD = replace(SCENE, faults=("crash", "cut", "one-way", "disk"), fault_every=400_000, loss=0.05)
+CROWD = replace(
+    SCENE,
+    holders=10,
+    terms=LeaseTerms(2_000_000, 200_000, 0.05),
+    faults=("stop", "one-way", "cut"),
+    fault_every=300_000,
+    slow=0.2,
+)
+SNAPPY = replace(SCENE, faults=("crash", "unwant"), fault_every=400_000, pace=replace(SCENE.pace, kept=4))
+PLANTED = (
+    Planted(
+        "answers before fsync",
+        _before_fsync,
+        replace(HARD, faults=("crash",), together=0.7, sync=300_000, fault_every=300_000),
+    ),
+    Planted("time counted from the reply", _from_the_reply, CROWD),
+    Planted("no margin", _no_margin, replace(CROWD, faults=("cut",), fault_every=1_500_000)),
+    Planted("half is a majority", _half_is_enough, replace(HARD, keepers=4)),
+    Planted("a wiped disk votes", _wiped_disk_votes, replace(SCENE, faults=("wipe", "one-way", "cut"))),
+    Planted("an older copy of a disk votes", _older_copy_votes, replace(SCENE, faults=("rollback", "cut"))),
+    Planted("a read without asking", _stale_read, replace(CROWD, look_every=50_000)),
+    Planted("a snapshot forgets tokens", _forgotten_token, SNAPPY),
+    Planted("a renewed lease runs out", _renewals_unseen),
+    Planted("a vote without a look at the log", _no_log_check, HARD),
+    Planted("conflicting entries stay", _cut_is_forgotten, HARD),
+)
+
+
+def caught(planted: Planted, seeds: int) -> tuple[int, str] | None:
+    """The first seed that shows the defect, and what it says."""
+    with planted.breaks():
+        for seed in range(seeds):
+            try:
+                play(seed, planted.scene)
+            except Broken as error:
+                return seed, str(error)
+            except (AssertionError, ValueError, IndexError) as error:
+                return seed, f"seed {seed}: {type(error).__name__}"
+    return None
+
+
+def all_caught(seeds: int) -> Iterator[tuple[str, tuple[int, str] | None]]:
+    for planted in PLANTED:
+        yield planted.name, caught(planted, seeds)
--- a/deploy/needs.py
+++ b/deploy/needs.py
@@ -8,8 +8,8 @@
 
 
 def amiss(needs: str) -> list[str]:
-    """`needs`: lines of NAME==VERSION. Each one's files are held against the sizes its installer wrote down: an
-    installation that was cut off in its midst has its metadata and not all else."""
+    """`needs`: lines of NAME==VERSION. Each one's files are held against the sizes its installer wrote down:
+    an installation that was cut off in its midst has its metadata and not all else."""
     found = list[str]()
     for need in filter(None, map(str.strip, needs.splitlines())):
         name, _, version = need.partition("==")
--- /dev/null
+++ b/lotusstream/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: whole fleets under faults, on a virtual clock and as real processes."""
--- /dev/null
+++ b/lotusstream/lab/virtual.py
@@ -0,0 +1,520 @@
+"""A fleet of keepers and holders on a virtual clock, network and disk, with faults drawn from one seed.
+
+All that can differ between two runs is drawn from `random.Random(seed)`: a failing seed fails again in the
+same way. After every step the judge looks at what must hold.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from lotusstream.leases import holder as hold
+from lotusstream.leases.desk import Asked, LeaseDesk, LookedUp, Passed, Reply
+from lotusstream.leases.granter import LeaseTerms
+from lotusstream.leases.table import Granted
+from lotusstream.quorum import events as ev
+from lotusstream.quorum.journal import OnDisk
+from lotusstream.quorum.keeper import LEADER, Keeper, Pace
+from lotusstream.quorum.messages import Record
+
+MS, S = 1_000, 1_000_000
+PACE = Pace(100 * MS, 400 * MS, batch=300, kept=25)
+TERMS = LeaseTerms(2 * S, 250 * MS, 0.05)
+
+
+class Broken(AssertionError):
+    """Something that must hold did not; the text tells seed and time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Scene:
+    """What a run is made of. Times in microseconds. `faults_end`: from then on everything works again."""
+
+    keepers: int = 3
+    holders: int = 3
+    tasks: tuple[str, ...] = ("moves",)
+    length: int = 14 * S
+    faults_end: int = 9 * S
+    pace: Pace = PACE
+    terms: LeaseTerms = TERMS
+    faults: tuple[str, ...] = (
+        "crash",
+        "cut",
+        "one-way",
+        "stop",
+        "wipe",
+        "rollback",
+        "disk",
+        "leave",
+        "unwant",
+    )
+    fault_every: int = 700 * MS
+    together: float = 0.1  # the share of crashes that take all keepers at once
+    sync: int = 5 * MS  # the longest time of a sync
+    look_every: int = 400 * MS
+    loss: float = 0.02
+    twice: float = 0.02
+    slow: float = 0.02
+
+
+@dataclass(slots=True)
+class VirtualDisk:
+    """What is synced is there after a crash; of the rest a beginning may be."""
+
+    synced: list[Record] = field(default_factory=list)
+    writing: list[ev.Save] = field(default_factory=list)
+    changed: int = 0  # when something was last synced
+
+    def sync(self, save: ev.Save) -> None:
+        self.synced = ([] if save.rewrite else self.synced) + list(save.records)
+        self.writing.remove(save)
+
+    def crash(self, draw: random.Random) -> None:
+        for save in self.writing:
+            if save.rewrite:  # a rename: whole or not at all
+                if draw.random() < 0.5:
+                    self.synced = list(save.records)
+                    continue
+                break
+            kept = draw.randint(0, len(save.records))
+            self.synced += save.records[:kept]
+            if kept < len(save.records):
+                break
+        self.writing.clear()
+
+
+class Node:
+    """A process: `rate` and `ahead` are its clock's; while it is stopped its clock goes on."""
+
+    def __init__(self, name: str, draw: random.Random, drift: float) -> None:
+        self.name, self.up, self.stopped, self.run = name, True, False, 0
+        self.rate = 1 + draw.choice((-drift, drift, draw.uniform(-drift, drift)))
+        self.ahead = draw.randint(0, 1000 * S)
+        self.waiting: list[Callable[[], None]] = []  # what came while it was stopped
+
+    def clock(self, now: int) -> int:
+        return int(now * self.rate) + self.ahead
+
+    def real(self, at: int) -> int:
+        return int((at - self.ahead) / self.rate) + 1
+
+
+class KeeperNode(Node):
+    def __init__(self, name: str, draw: random.Random, drift: float) -> None:
+        super().__init__(name, draw, drift)
+        self.disk = VirtualDisk()
+        self.desk: LeaseDesk | None = None
+        self.applied: dict[int, Any] = {}
+        self.wiped = False
+        self.slow_disk = 0
+
+
+class HolderNode(Node):
+    def __init__(self, name: str, draw: random.Random, drift: float) -> None:
+        super().__init__(name, draw, drift)
+        self.holder: hold.Holder
+        self.acting: dict[str, int] = {}
+
+
+class Judge:
+    """Knows nothing of the code under test but what it says and does."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed, self.now = seed, 0
+        self.leaders: dict[int, str] = {}
+        self.log: dict[int, tuple[Any, bytes]] = {}
+        self.tokens: dict[int, tuple[int, str]] = {}  # by index
+        self.acts = self.grants = self.reads = 0
+        self.newest = 0
+        self.line: list[str] = []
+
+    def fails(self, what: str) -> None:
+        raise Broken(f"seed {self.seed}, at {self.now / S:.3f} s: {what}")
+
+    def leads(self, term: int, name: str) -> None:
+        if self.leaders.setdefault(term, name) != name:
+            self.fails(f"term {term} has two leaders, {self.leaders[term]} and {name}")
+
+    def applied(self, name: str, index: int, kind: Any, data: bytes) -> None:
+        if self.log.setdefault(index, (kind, data)) != (kind, data):
+            self.fails(f"{name} applied something else at {index} than another keeper")
+
+    def passed(self, name: str, index: int, granted: Granted) -> None:
+        if granted.fresh:
+            told = (granted.token, granted.holder)
+            if index not in self.tokens:
+                newest = max((each[0] for at, each in self.tokens.items() if at < index), default=0)
+                if granted.token <= newest:
+                    self.fails(f"token {granted.token} was granted after {newest}")
+                self.grants += 1
+                self.newest = max(self.newest, granted.token)
+            if self.tokens.setdefault(index, told) != told:
+                self.fails(f"{name} granted {told} at {index}, another keeper {self.tokens[index]}")
+
+    def read(self, name: str, newest: int, seen: int) -> None:
+        """`newest`: the highest token granted before the read began."""
+        self.reads += 1
+        if seen < newest:
+            self.fails(f"{name} read token {seen} after {newest} was granted")
+
+    def acting(self, task: str, acting: list[tuple[str, int]]) -> None:
+        self.acts += len(acting)
+        if len(acting) > 1:
+            self.fails(f"{' and '.join(f'{who} (token {token})' for who, token in acting)} act for '{task}'")
+
+
+class VirtualFleet:
+    def __init__(self, seed: int, scene: Scene) -> None:
+        self.seed, self.scene, self.draw = seed, scene, random.Random(seed)
+        self.judge, self.now = Judge(seed), 0
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._count = 0
+        drift = scene.terms.drift
+        self.keepers = {f"k{i}": KeeperNode(f"k{i}", self.draw, drift) for i in range(scene.keepers)}
+        self.holders = {f"g{i}": HolderNode(f"g{i}", self.draw, drift) for i in range(scene.holders)}
+        self.cuts: set[tuple[str, str]] = set()
+        self._wakes: dict[str, tuple[int, int]] = {}
+        self._calm_until = 0
+        self._fresh = 0
+        for holder in self.holders.values():
+            holder.holder = self._holder(holder)
+        for keeper in self.keepers.values():
+            self._begin_keeper(keeper)
+        for holder in self.holders.values():
+            self._begin_holder(holder)
+
+    # The run
+
+    def run(self) -> Judge:
+        if self.scene.faults:
+            self.at(self.scene.fault_every, self._fault)
+        self.at(self.scene.faults_end, self._heal)
+        self.at(self.scene.look_every, self._read)
+        while self._events and self._events[0][0] <= self.scene.length:
+            self.now, _, act = heapq.heappop(self._events)
+            self.judge.now = self.now
+            act()
+        self._alive()
+        return self.judge
+
+    def at(self, when: int, act: Callable[[], None]) -> None:
+        self._count += 1
+        heapq.heappush(self._events, (max(when, self.now), self._count, act))
+
+    def after(self, span: int, act: Callable[[], None]) -> None:
+        self.at(self.now + span, act)
+
+    def _on(self, node: Node, act: Callable[[], None]) -> Callable[[], None]:
+        """Only in this run of the process; while it is stopped it waits."""
+        run = node.run
+
+        def go() -> None:
+            if not node.up or node.run != run:
+                return
+            if node.stopped:
+                node.waiting.append(go)
+            else:
+                act()
+
+        return go
+
+    def _wake(self, node: Node, at: int, act: Callable[[], None]) -> None:
+        real = max(self.now + MS, node.real(at))
+        due, run = self._wakes.get(node.name, (0, -1))
+        if run == node.run and self.now < due <= real:
+            return
+        self._wakes[node.name] = (real, node.run)
+        self.at(real, self._on(node, act))
+
+    # Keepers
+
+    def _begin_keeper(self, node: KeeperNode) -> None:
+        node.up, node.stopped, node.run = True, False, node.run + 1
+        node.waiting.clear()
+        self._fresh += 1
+        disk = OnDisk(node.disk.synced)
+        keeper = Keeper(
+            node.name, disk, f"d{self._fresh}", list(self.keepers), self.scene.pace,
+            self.seed * 1000 + node.run, node.clock(self.now),
+        )  # fmt: skip
+        node.desk = LeaseDesk(keeper, self.scene.terms)
+        self._tell_keeper(node, ev.Tick())
+
+    def _tell_keeper(self, node: KeeperNode, event: Any) -> None:
+        assert node.desk is not None
+        for action in node.desk.handle(node.clock(self.now), event):
+            self._carry_out(node, action)
+        if node.desk.keeper.role == LEADER:
+            self.judge.leads(node.desk.keeper.term, node.desk.keeper.disk)
+        for index in range(max(1, node.desk.keeper.applied - 3), node.desk.keeper.applied + 1):
+            if index > node.desk.keeper.journal.snapshot.index:
+                entry = node.desk.keeper.journal.entry(index)
+                self.judge.applied(node.name, index, (entry.term, entry.kind), entry.data)
+        self._wake(node, node.desk.next_at, lambda: self._tell_keeper(node, ev.Tick()))
+
+    def _carry_out(self, node: KeeperNode, action: Any) -> None:
+        match action:
+            case ev.Save():
+                node.disk.writing.append(action)
+                span = self.draw.randint(1 * MS, self.scene.sync) + node.slow_disk
+                self.after(span, self._on(node, lambda: self._synced(node, action)))
+            case ev.Say(envelope):
+                target = self.keepers[envelope.to]
+                self._deliver(node, target, lambda: self._tell_keeper(target, ev.Received(envelope)))
+            case Reply(caller, _, _, _, _, done) if isinstance(caller, int):
+                if done:
+                    self.judge.read(node.name, caller, node.desk.table.newest if node.desk else 0)
+            case Reply(caller, number, granted, leader):
+                holder = self.holders[str(caller)]
+                event = hold.Answered(number, granted, leader)
+                self._deliver(node, holder, lambda: self._tell_holder(holder, event))
+            case Passed(index, granted):
+                self.judge.passed(node.name, index, granted)
+
+    def _synced(self, node: KeeperNode, save: ev.Save) -> None:
+        """Group commit: all that was asked for before is on the disk as well."""
+        while save in node.disk.writing:
+            node.disk.sync(node.disk.writing[0])
+        node.disk.changed = self.now
+        self._tell_keeper(node, ev.Persisted(save.number))
+
+    def _read(self) -> None:
+        """From whoever takes itself for the leader, and it must know all that was granted before."""
+        for node in self.keepers.values():
+            leads = node.desk is not None and node.desk.keeper.role == LEADER
+            if leads and node.up and not node.stopped:
+                self._tell_keeper(node, LookedUp(self.judge.newest, 0))
+        self.after(self.scene.look_every, self._read)
+
+    # Holders
+
+    def _begin_holder(self, node: HolderNode) -> None:
+        node.up, node.stopped, node.run = True, False, node.run + 1
+        node.waiting.clear()
+        node.holder = self._holder(node)
+        for task in self.scene.tasks:
+            self._tell_holder(node, hold.Want(task))
+
+    def _holder(self, node: HolderNode) -> hold.Holder:
+        session, keepers = f"{node.name}-{node.run}", list(self.keepers)
+        return hold.Holder(node.name, session, keepers, self.scene.terms, self.seed + node.run)
+
+    def _tell_holder(self, node: HolderNode, event: Any) -> None:
+        for action in node.holder.handle(node.clock(self.now), event):
+            if isinstance(action, hold.Ask):
+                target, asked = self.keepers[action.keeper], Asked(node.name, action.number, action.wish)
+                self._deliver(node, target, self._asking(target, asked))
+        self._look()
+        self._wake(node, node.holder.next_at, lambda: self._tell_holder(node, hold.Tick()))
+
+    def _asking(self, target: KeeperNode, asked: Asked) -> Callable[[], None]:
+        return lambda: self._tell_keeper(target, asked)
+
+    def _look(self) -> None:
+        """Whoever could act at this moment; one that is stopped has looked before it was."""
+        for task in self.scene.tasks:
+            acting = []
+            for node in self.holders.values():
+                if node.up and not node.stopped:
+                    token = node.holder.may_act(node.clock(self.now), task)
+                    if token:
+                        acting.append((node.name, token))
+            self.judge.acting(task, acting)
+
+    # The network
+
+    def _deliver(self, source: Node, target: Node, act: Callable[[], None]) -> None:
+        if (source.name, target.name) in self.cuts:
+            return
+        scene, draw = self.scene, self.draw
+        times = 1
+        if self.now < scene.faults_end:
+            lot = draw.random()
+            times = 0 if lot < scene.loss else 2 if lot < scene.loss + scene.twice else 1
+        for _ in range(times):
+            slow = draw.random() < scene.slow and self.now < scene.faults_end
+            span = draw.randint(0, 800 * MS) if slow else draw.randint(200, 5 * MS)
+            self.after(span, self._arriving(target, act))
+
+    def _arriving(self, target: Node, act: Callable[[], None]) -> Callable[[], None]:
+        def go() -> None:  # by whatever run of the process is there then
+            if target.up and not target.stopped:
+                act()
+            elif target.up:
+                target.waiting.append(go)
+
+        return go
+
+    # Faults
+
+    def _fault(self) -> None:
+        if self.now >= self.scene.faults_end:
+            return
+        kind = self.draw.choice(self.scene.faults)
+        if self.now >= self._calm_until:
+            getattr(self, "_fault_" + kind.replace("-", "_"))()
+        self.after(self.draw.randint(self.scene.fault_every // 3, 2 * self.scene.fault_every), self._fault)
+
+    def _any(self) -> Node:
+        return self.draw.choice([*self.keepers.values(), *self.holders.values()])
+
+    def _any_keeper(self) -> KeeperNode:
+        return self.draw.choice(list(self.keepers.values()))
+
+    def _down(self, node: Node) -> None:
+        if node.up and isinstance(node, KeeperNode):
+            node.disk.crash(self.draw)
+        node.up = False
+
+    def _return(self, node: Node, within: int) -> None:
+        run = node.run
+
+        def back() -> None:
+            if not node.up and node.run == run:
+                self._again(node)
+
+        self.after(self.draw.randint(0, within), back)
+
+    def _restart(self, node: Node) -> None:
+        self._down(node)
+        self._return(node, S)
+
+    def _again(self, node: Node) -> None:
+        if isinstance(node, KeeperNode):
+            self._begin_keeper(node)
+        elif isinstance(node, HolderNode):
+            self._begin_holder(node)
+
+    def _fault_crash(self) -> None:
+        nodes: list[Node] = (
+            list(self.keepers.values()) if self.draw.random() < self.scene.together else [self._any()]
+        )
+        for node in nodes:
+            self._down(node)
+            self._return(node, 2 * S)
+
+    def _fault_cut(self) -> None:
+        names = [*self.keepers, *self.holders]
+        side = {name for name in names if self.draw.random() < 0.5}
+        made = {(a, b) for a in names for b in names if (a in side) != (b in side)}
+        self.cuts |= made
+        self.after(self.draw.randint(0, 3 * S), lambda: self.cuts.difference_update(made))
+
+    def _fault_one_way(self) -> None:
+        node = self._any_keeper().name
+        others = [name for name in (*self.keepers, *self.holders) if name != node]
+        made = (
+            {(node, name) for name in others}
+            if self.draw.random() < 0.5
+            else {(name, node) for name in others}
+        )
+        self.cuts |= made
+        self.after(self.draw.randint(0, 3 * S), lambda: self.cuts.difference_update(made))
+
+    def _fault_stop(self) -> None:
+        node = self._any()
+        if not node.up or node.stopped:
+            return
+        node.stopped, run = True, node.run
+
+        def wake() -> None:
+            if node.up and node.run == run and node.stopped:
+                node.stopped = False
+                waiting, node.waiting = node.waiting, []
+                for act in waiting:
+                    act()
+
+        self.after(self.draw.randint(0, 4 * S), wake)
+
+    def _fault_wipe(self) -> None:
+        """One disk at a time, and the next one only once its group is whole again."""
+        if not self._whole():
+            return
+        node = self._any_keeper()
+        self._down(node)
+        node.disk = VirtualDisk()
+        self._return(node, S)
+
+    def _fault_rollback(self) -> None:
+        """To an older copy; all others are there when it comes back, and stay for a while, and what it
+        held was told: a leader tells with its next heartbeat what is on its own disk."""
+        if not self._whole() or self.cuts:
+            return
+        node = self._any_keeper()
+        older = list(node.disk.synced)
+
+        def roll() -> None:
+            if not self._whole() or self.cuts or not node.up or node.disk.synced[: len(older)] != older:
+                return
+            if self.now - node.disk.changed < 3 * self.scene.pace.heartbeat:
+                return
+            self._down(node)
+            node.disk.synced = older
+            self._calm_until = self.now + 2 * self.scene.pace.election
+            self._again(node)
+
+        self.after(self.draw.randint(0, S), roll)
+
+    def _whole(self) -> bool:
+        """Every keeper is up, and a voter that has what the others agreed on."""
+        desks = [node.desk for node in self.keepers.values() if node.up and not node.stopped]
+        if len(desks) < len(self.keepers):
+            return False
+        keepers = [desk.keeper for desk in desks if desk is not None]
+        commit = max(keeper.commit for keeper in keepers)
+        disks = {keeper.disk for keeper in keepers}
+        return all(
+            {member.disk for member in keeper.members if member.voter} == disks
+            and keeper.commit >= commit - 1
+            for keeper in keepers
+        )
+
+    def _fault_disk(self) -> None:
+        node = self._any_keeper()
+        node.slow_disk = self.draw.choice((0, 50 * MS, 400 * MS))
+        self.after(self.draw.randint(0, 3 * S), lambda: setattr(node, "slow_disk", 0))
+
+    def _fault_leave(self) -> None:
+        node = self._any_keeper()
+        if node.up and not node.stopped:
+            self._tell_keeper(node, ev.Leave())
+            self.after(300 * MS, self._on(node, lambda: self._restart(node)))
+
+    def _fault_unwant(self) -> None:
+        node, task = self.draw.choice(list(self.holders.values())), self.draw.choice(self.scene.tasks)
+        if node.up and not node.stopped:
+            heir = self.draw.choice(["", *self.holders])
+            self._tell_holder(node, hold.Unwant(task, heir))
+            self.after(S, self._on(node, lambda: self._tell_holder(node, hold.Want(task))))
+
+    def _heal(self) -> None:
+        self.cuts.clear()
+        for node in [*self.keepers.values(), *self.holders.values()]:
+            if isinstance(node, KeeperNode):
+                node.slow_disk = 0
+            if not node.up:
+                self._again(node)
+            elif node.stopped:
+                node.stopped, waiting, node.waiting = False, node.waiting, []
+                for act in waiting:
+                    act()
+
+    def _alive(self) -> None:
+        """Once faults have ended: one leader, whole, and somebody acts for every task."""
+        if not any(node.desk and node.desk.keeper.role == LEADER for node in self.keepers.values()):
+            self.judge.fails("no leader though all faults have ended")
+        if not self._whole():
+            self.judge.fails("a keeper has not caught up though all faults have ended")
+        for task in self.scene.tasks:
+            nodes = self.holders.values()
+            if not any(node.holder.may_act(node.clock(self.now), task) for node in nodes):
+                self.judge.fails(f"nobody acts for '{task}' though all faults have ended")
+
+
+def play(seed: int, scene: Scene | None = None) -> Judge:
+    """One run. Raises Broken."""
+    return VirtualFleet(seed, scene or Scene()).run()
--- /dev/null
+++ b/lotusstream/leases/table.py
@@ -0,0 +1,207 @@
+"""The leases as all keepers have them: applied from the log in one order, with no clock.
+
+A time runs out nowhere here: the leader counts it (`leases/granter.py`) and puts an Expire into the log,
+which names what it saw, so that a renewal which came between them stands.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+CALLERS = (
+    512  # whose newest number is kept for each task; older ones may be carried out twice, and harm no one
+)
+
+
+class Wish(msgspec.Struct, frozen=True, array_like=True, tag_field="is"):
+    pass
+
+
+class Acquire(Wish, frozen=True, tag="acquire"):
+    """Also renews, where `holder` has it. `session`: of one run of the holder's program; `number` grows in
+    it, so that a wish that comes twice, or late, does nothing."""
+
+    task: str
+    holder: str
+    session: str
+    number: int
+
+
+class Release(Wish, frozen=True, tag="release"):
+    """`heir`: who gets it next, if that one is to; '' for whoever comes first."""
+
+    task: str
+    holder: str
+    session: str
+    number: int
+    token: int
+    heir: str = ""
+
+
+class Expire(Wish, frozen=True, tag="expire"):
+    """The leader's word: this grant, renewed so often, has run out."""
+
+    task: str
+    token: int
+    renewed: int
+
+
+class TakeBack(Wish, frozen=True, tag="take-back"):
+    """By hand: nobody gets it before its time is over, but its holder is told at its next renewal."""
+
+    task: str
+    token: int
+    heir: str = ""
+
+
+AnyWish = Acquire | Release | Expire | TakeBack
+
+_WISHES: msgspec.msgpack.Decoder[AnyWish] = msgspec.msgpack.Decoder(AnyWish)
+
+
+def encode_wish(wish: AnyWish) -> bytes:
+    return msgspec.msgpack.encode(wish)
+
+
+class Lease(msgspec.Struct):
+    """`token` 0: free. `heir`: the only one who gets it, until an Expire ends that. `ending`: taken back by
+    hand, not renewed any more."""
+
+    task: str
+    holder: str = ""
+    session: str = ""
+    token: int = 0
+    renewed: int = 0
+    heir: str = ""
+    ending: bool = False
+    granted: int = 0  # how many times anybody got it
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """Whether the wish was carried out, and how the lease stands after it. `fresh`: nobody had it before."""
+
+    done: bool
+    task: str
+    holder: str
+    token: int
+    why: str = ""
+    fresh: bool = False
+
+
+class _Dump(msgspec.Struct, array_like=True):
+    next_token: int
+    leases: list[Lease]
+    callers: dict[str, list[tuple[str, str, int]]]
+
+
+_DUMPS: msgspec.msgpack.Decoder[_Dump] = msgspec.msgpack.Decoder(_Dump)
+
+
+class LeaseTable:
+    """Identical wishes in one order give identical tables. Tokens grow over all tasks together."""
+
+    def __init__(self) -> None:
+        self._next = 1
+        self.leases: dict[str, Lease] = {}
+        self._callers: dict[str, dict[str, tuple[str, int]]] = {}
+
+    @property
+    def newest(self) -> int:
+        """The newest token that was ever granted."""
+        return self._next - 1
+
+    def apply(self, data: bytes) -> Granted:
+        wish = _WISHES.decode(data)
+        lease = self.leases.get(wish.task) or Lease(wish.task)
+        match wish:
+            case Acquire():
+                return self._acquire(lease, wish)
+            case Release():
+                return self._release(lease, wish)
+            case Expire(_, token, renewed):
+                if lease.token != token or lease.renewed != renewed:
+                    return self._told(lease, False, "it was renewed or passed on")
+                if token:
+                    self._free(lease)
+                else:
+                    lease.heir = ""  # the heir did not come
+                    lease.renewed += 1
+                return self._told(lease, True)
+            case TakeBack(_, token, heir):
+                if not token or lease.token != token:
+                    return self._told(lease, False, "another holder has it")
+                lease.ending, lease.heir = True, heir
+                return self._told(lease, True)
+
+    def _told(self, lease: Lease, done: bool, why: str = "", fresh: bool = False) -> Granted:
+        return Granted(done, lease.task, lease.holder, lease.token, why, fresh)
+
+    def _repeated(self, wish: Acquire | Release) -> bool:
+        callers = self._callers.setdefault(wish.task, {})
+        session, number = callers.get(wish.holder, ("", 0))
+        if session == wish.session and wish.number <= number:
+            return True
+        callers.pop(wish.holder, None)
+        callers[wish.holder] = (wish.session, wish.number)
+        if len(callers) > CALLERS:
+            del callers[next(iter(callers))]
+        return False
+
+    def _acquire(self, lease: Lease, wish: Acquire) -> Granted:
+        if self._repeated(wish):
+            mine = lease.holder == wish.holder and lease.session == wish.session and lease.token > 0
+            return self._told(lease, mine, "" if mine else "asked before")
+        if lease.token and (lease.holder, lease.session) == (wish.holder, wish.session):
+            if lease.ending:
+                return self._told(lease, False, "taken back by hand")
+            lease.renewed += 1
+            return self._told(lease, True)
+        if lease.token:
+            return self._told(lease, False, "held")
+        if lease.heir and lease.heir != wish.holder:
+            return self._told(lease, False, f"kept for {lease.heir}")
+        self.leases[wish.task] = lease
+        lease.holder, lease.session, lease.heir, lease.ending = wish.holder, wish.session, "", False
+        lease.token, self._next = self._next, self._next + 1
+        lease.renewed, lease.granted = 0, lease.granted + 1
+        return self._told(lease, True, fresh=True)
+
+    def _release(self, lease: Lease, wish: Release) -> Granted:
+        if self._repeated(wish) or lease.token != wish.token or lease.session != wish.session:
+            return self._told(lease, False, "not its holder any more")
+        lease.heir = lease.heir or wish.heir
+        self._free(lease)
+        return self._told(lease, True)
+
+    def _free(self, lease: Lease) -> None:
+        """An heir keeps its place; `renewed` grows, so that no word about an earlier state fits this one."""
+        lease.holder, lease.session, lease.token, lease.ending = "", "", 0, False
+        lease.renewed += 1
+
+    def dump(self) -> bytes:
+        callers = {
+            task: [(holder, *told) for holder, told in table.items()] for task, table in self._callers.items()
+        }
+        return msgspec.msgpack.encode(_Dump(self._next, list(self.leases.values()), callers))
+
+    @classmethod
+    def load(cls, state: bytes) -> LeaseTable:
+        table = cls()
+        if state:
+            dump = _DUMPS.decode(state)
+            table._next = dump.next_token
+            table.leases = {lease.task: lease for lease in dump.leases}
+            table._callers = {
+                task: {holder: (session, number) for holder, session, number in callers}
+                for task, callers in dump.callers.items()
+            }
+        return table
+
+    @classmethod
+    def replayed(cls, state: bytes, wishes: Iterable[bytes]) -> LeaseTable:
+        table = cls.load(state)
+        for wish in wishes:
+            table.apply(wish)
+        return table
--- /dev/null
+++ b/lotusstream/quorum/events.py
@@ -0,0 +1,147 @@
+"""What happens to a keeper, and what it wants done. Times are whole microseconds of a clock that never steps
+back and counts while the machine sleeps."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lotusstream.quorum.messages import Envelope, Kind, Members, Record
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; due at `Keeper.next_at`."""
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    envelope: Envelope
+
+
+@dataclass(frozen=True, slots=True)
+class Persisted:
+    """All records up to this Save are on the disk."""
+
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """`ticket`: handed back with what becomes of it."""
+
+    ticket: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Read:
+    """Wants to know that all told before now is applied here."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """Takes a keeper in as a learner that becomes a voter, or out. `disk` '' means whatever it has."""
+
+    ticket: int
+    name: str
+    add: bool
+    disk: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Compacted:
+    """The machine's whole state after applying `index`."""
+
+    index: int
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """A planned stop: leadership is handed over."""
+
+
+Event = Tick | Received | Persisted | Propose | Read | Change | Compacted | Leave
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    """Onto the disk, then Persisted. `rewrite`: in place of all that was there. What can't be written ends
+    this keeper: another is begun from what the disk has."""
+
+    number: int
+    records: tuple[Record, ...]
+    rewrite: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    envelope: Envelope
+
+
+@dataclass(frozen=True, slots=True)
+class Apply:
+    """A committed entry, each index once and in order. `ticket`: of the proposal, where it was made here."""
+
+    index: int
+    kind: Kind
+    data: bytes
+    ticket: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """The machine's state in place of whatever it has."""
+
+    index: int
+    state: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Compact:
+    """Asks for Compacted with the state as it is now."""
+
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """All that was told before this ticket's Read is applied."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Dropped:
+    """Nothing is known of this ticket's end, or it was refused. `leader`: whom to ask, if known. `maybe`:
+    it may still be carried out."""
+
+    ticket: int
+    why: str
+    leader: str
+    maybe: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Became:
+    """For the log: what this keeper is now, and why."""
+
+    role: str
+    term: int
+    leader: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class NewMembers:
+    index: int
+    members: Members
+
+
+Action = Save | Say | Apply | Restore | Compact | Ready | Dropped | Became | NewMembers
--- /dev/null
+++ b/lotusstream/quorum/journal.py
@@ -0,0 +1,133 @@
+"""The log of one keeper in memory: a snapshot and the entries behind it, with the members of each time."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from lotusstream.quorum.messages import (
+    Ballot,
+    Entries,
+    Entry,
+    Identity,
+    Kind,
+    Member,
+    Members,
+    Record,
+    Snapshot,
+    Whole,
+)
+
+_MEMBERS: msgspec.msgpack.Decoder[tuple[Member, ...]] = msgspec.msgpack.Decoder(tuple[Member, ...])
+
+
+def write_members(members: Members) -> bytes:
+    return msgspec.msgpack.encode(members)
+
+
+class Journal:
+    """Indexes count from 1; index 0 is a founding."""
+
+    def __init__(self, snapshot: Snapshot, entries: Iterable[Entry] = ()) -> None:
+        self.snapshot = snapshot
+        self._entries = list[Entry]()
+        self._members: list[tuple[int, Members]] = [(snapshot.index, snapshot.members)]
+        self.extend(entries)
+
+    @property
+    def last(self) -> int:
+        return self.snapshot.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        return self._entries[-1].term if self._entries else self.snapshot.term
+
+    @property
+    def members(self) -> Members:
+        """The newest, committed or not: they count from when they are appended."""
+        return self._members[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        return self._members[-1][0]
+
+    def members_at(self, index: int) -> Members:
+        return next(members for at, members in reversed(self._members) if at <= index)
+
+    def term(self, index: int) -> int | None:
+        """None where it is not known: behind the end, or inside the snapshot."""
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        at = index - self.snapshot.index - 1
+        return self._entries[at].term if 0 <= at < len(self._entries) else None
+
+    def entry(self, index: int) -> Entry:
+        return self._entries[index - self.snapshot.index - 1]
+
+    def after(self, index: int, most: int) -> tuple[Entry, ...]:
+        """What follows an index, up to so many bytes, and one entry at least."""
+        at, size, found = index - self.snapshot.index, 0, list[Entry]()
+        while at < len(self._entries) and (not found or size + len(self._entries[at].data) <= most):
+            found.append(self._entries[at])
+            size += len(self._entries[at].data) + 8
+            at += 1
+        return tuple(found)
+
+    def extend(self, entries: Iterable[Entry]) -> None:
+        for entry in entries:
+            self._entries.append(entry)
+            if entry.kind == Kind.MEMBERS:
+                self._members.append((self.last, _MEMBERS.decode(entry.data)))
+
+    def cut(self, first: int) -> None:
+        """Forgets index `first` and all behind it."""
+        del self._entries[first - self.snapshot.index - 1 :]
+        while self._members[-1][0] >= first and len(self._members) > 1:
+            self._members.pop()
+
+    def compact(self, index: int, state: bytes) -> None:
+        term = self.term(index)
+        assert term is not None
+        members = self.members_at(index)
+        kept = self._entries[index - self.snapshot.index :]
+        self._members = [(index, members), *(each for each in self._members if each[0] > index)]
+        self._entries = kept
+        self.snapshot = Snapshot(index, term, self.snapshot.group, members, state)
+
+    def conflict(self, index: int) -> int:
+        """Where the term that stands at `index` begins here: what a leader tries next."""
+        term = self.term(index)
+        while index > self.snapshot.index + 1 and self.term(index - 1) == term:
+            index -= 1
+        return index
+
+    def records(self) -> tuple[Record, ...]:
+        found: list[Record] = [Whole(self.snapshot)]
+        if self._entries:
+            found.append(Entries(self.snapshot.index + 1, tuple(self._entries)))
+        return tuple(found)
+
+
+class OnDisk:
+    """What a disk holds, folded from its records. `journal` is None where no group was founded there."""
+
+    def __init__(self, records: Sequence[Record]) -> None:
+        self.disk, self.term, self.vote = "", 0, ""
+        self.journal: Journal | None = None
+        for record in records:
+            match record:
+                case Identity(disk):
+                    self.disk = disk
+                case Ballot(term, vote):
+                    self.term, self.vote = term, vote
+                case Whole(snapshot):
+                    self.journal = Journal(snapshot)
+                case Entries(first, entries):
+                    if (
+                        self.journal is None
+                        or not self.journal.snapshot.index < first <= self.journal.last + 1
+                    ):
+                        raise ValueError(f"entries from {first} on follow nothing")
+                    self.journal.cut(first)
+                    self.journal.extend(entries)
--- /dev/null
+++ b/lotusstream/quorum/messages.py
@@ -0,0 +1,183 @@
+"""What keepers tell each other and write down. Bounded by whoever reads them off a link."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+
+class Kind(IntEnum):
+    NOTHING = 0  # a leader's first entry: commits what earlier terms have left
+    COMMAND = 1
+    MEMBERS = 2
+
+
+class Member(msgspec.Struct, frozen=True, array_like=True):
+    """A keeper is its disk: the same name on another disk is another member. A learner is no voter."""
+
+    name: str
+    disk: str
+    voter: bool = True
+
+
+Members = tuple[Member, ...]
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    term: int
+    kind: Kind
+    data: bytes = b""
+
+
+class Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """All up to `index`. That of a founding has index 0. `group`: a founding's own name, for good."""
+
+    index: int
+    term: int
+    group: str
+    members: Members
+    state: bytes = b""
+
+
+# Written down, in this order; a later record stands against an earlier one
+
+
+class Stored(msgspec.Struct, frozen=True, array_like=True, tag_field="is"):
+    pass
+
+
+class Identity(Stored, frozen=True, tag="disk"):
+    disk: str
+
+
+class Ballot(Stored, frozen=True, tag="ballot"):
+    """The term, and who got this disk's vote in it: a member's disk, or ''."""
+
+    term: int
+    vote: str
+
+
+class Entries(Stored, frozen=True, tag="entries"):
+    """From index `first` on; whatever stood there is gone."""
+
+    first: int
+    entries: tuple[Entry, ...]
+
+
+class Whole(Stored, frozen=True, tag="whole"):
+    """A snapshot in place of all entries."""
+
+    snapshot: Snapshot
+
+
+Record = Identity | Ballot | Entries | Whole
+
+# Told
+
+
+class Body(msgspec.Struct, frozen=True, array_like=True, tag_field="is"):
+    pass
+
+
+class Hello(Body, frozen=True, tag="hello"):
+    """Of a keeper that has just started: who are you, and what have you last heard from my disk?"""
+
+    term: int
+    last: int
+    vote: str = ""
+
+
+class Heard(Body, frozen=True, tag="heard"):
+    """The answer. `founders`: whom the group was founded with, where that is still known; `members` is empty
+    where no group is founded. `term`, `index`: the newest that this disk has told; `voted`: it gave the vote
+    of that term to the one that answers."""
+
+    group: str
+    founders: Members
+    members: Members
+    term: int
+    index: int
+    voted: bool
+
+
+class Found(Body, frozen=True, tag="found"):
+    snapshot: Snapshot
+
+
+class AskVote(Body, frozen=True, tag="ask"):
+    """`pre`: only whether it would be given. `forced`: the leader wished it so."""
+
+    term: int
+    last_index: int
+    last_term: int
+    pre: bool
+    forced: bool = False
+
+
+class Vote(Body, frozen=True, tag="vote"):
+    term: int
+    granted: bool
+    pre: bool
+
+
+class Append(Body, frozen=True, tag="append"):
+    term: int
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    round: int
+    durable: int  # what the leader itself has on its disk
+
+
+class Appended(Body, frozen=True, tag="appended"):
+    """`index`: where both logs agree to, or, where they don't, what to try next; 0 asks for the snapshot.
+    `last`: the end of the log that answers."""
+
+    term: int
+    ok: bool
+    index: int
+    last: int
+    round: int
+
+
+class Install(Body, frozen=True, tag="install"):
+    """A piece of a snapshot, from byte `offset` of its state on; `size`: all of it."""
+
+    term: int
+    snapshot: Snapshot  # without its state
+    offset: int
+    size: int
+    piece: bytes
+    round: int
+
+
+class Installed(Body, frozen=True, tag="installed"):
+    """`have`: bytes of the state that are there; all of them once it is taken."""
+
+    term: int
+    index: int
+    have: int
+    done: bool
+    round: int
+
+
+class HandOver(Body, frozen=True, tag="handover"):
+    """Stand for election at once."""
+
+    term: int
+
+
+AnyBody = Hello | Heard | Found | AskVote | Vote | Append | Appended | Install | Installed | HandOver
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """`to_disk`: '' where it is not known. `group`: '' before there is one."""
+
+    sender: str
+    disk: str
+    to: str
+    to_disk: str
+    group: str
+    body: AnyBody
--- /dev/null
+++ b/tests/quorum/test_seeds.py
@@ -0,0 +1,26 @@
+"""Fleets on a virtual clock: what must hold holds under faults, and planted defects are seen."""
+
+from dataclasses import replace
+
+import pytest
+
+from benchmarks.planted_leases import PLANTED, caught
+from lotusstream.lab.virtual import Scene, play
+
+SPAN = 40
+
+
+@pytest.mark.parametrize("first", range(0, 8 * SPAN, SPAN))
+def test_no_two_act_and_nothing_agreed_is_lost(first):
+    for seed in range(first, first + SPAN):
+        play(seed, replace(Scene(), keepers=(3, 4, 5)[seed % 3], tasks=("moves", "examine")))
+
+
+@pytest.mark.parametrize("planted", PLANTED, ids=lambda each: each.name)
+def test_a_planted_defect_is_caught(planted):
+    assert caught(planted, 300) is not None
+
+
+def test_a_seed_plays_the_same_again():
+    first, second = play(11), play(11)
+    assert (first.log, first.tokens, first.acts) == (second.log, second.tokens, second.acts)
