--- a/lotusstream/cells/keeper.py
+++ b/lotusstream/cells/keeper.py
@@ -56,7 +56,15 @@
     plan: Plan
 
 
-CellEvent = MoveTenant | AbortMove | Written | NotWritten | NewPlan
+@dataclass(frozen=True, slots=True)
+class Drives:
+    """Whether this gateway may begin moves for the fleet: under a token that only grows, or, where that is 0,
+    not at all. Without this event it may."""
+
+    token: int
+
+
+CellEvent = MoveTenant | AbortMove | Written | NotWritten | NewPlan | Drives
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +152,7 @@
         self._ward: dict[str, int] = {}  # tenants in quarantine for their blame, since when
         self._shut: dict[str, int] = {}  # refused until then, where no quarantine takes them
         self._judged_at = 0
+        self._token, self._driving = 0, True
         self._marked: dict[str, int] = {}  # when a tenant last sent something that carries a mark
         self.plan, self._terms, self._profiles = plan, terms, profiles
         self._listed: dict[api.EngineId, api.Engine] = {}
@@ -322,6 +331,8 @@
                 return self._not_written(now, move, why)
             case NewPlan(plan):
                 return self._replan(now, plan)
+            case Drives(token):
+                return self._drives(now, token)
         return []
 
     def _sent(self, now: int, command: int, engine: api.EngineId) -> None:
@@ -476,7 +487,21 @@
         self.moves[tenant] = self._writing[tenant] = move
         return [Write(move)]
 
+    def _drives(self, now: int, token: int) -> Told:
+        """An older token than one seen is a late word. Whoever may drive no more undoes what can come back:
+        the next one would not know of it."""
+        if token and token < self._token:
+            return []
+        self._token, self._driving = max(token, self._token), token > 0
+        told: Told = []
+        for tenant, move in [] if self._driving else list(self.moves.items()):
+            if move.step not in moving.NO_WAY_BACK and move.step not in moving.OVER:
+                told += self._abort(now, tenant, "another gateway may drive moves now")
+        return told
+
     def _begun(self, now: int, tenant: str, target: str, why: str) -> Move:
+        if not self._driving:
+            raise CannotMove("another gateway drives moves, or none can be told: 'ctl leases' says who")
         move = moving.begin(now, tenant, self.plan.home(tenant), target, self.moves, why)
         if (fails := self._target_fails(move)) is not None:
             raise CannotMove(f"'{target}' can't take '{tenant}': {fails}")
--- a/lotusstream/cli/__init__.py
+++ b/lotusstream/cli/__init__.py
@@ -58,7 +58,8 @@
     deployment = configuration.deployment
     profiles = dict(zip(deployment.profiles, deployment.started.profiles, strict=True))
     listed = {each.engine.id: each.engine for notice in configuration.known.notices for each in notice.listed}
-    around = Surroundings(profiles, deployment.zones, deployment.kinds, tuple(listed.values()))
+    engines, name = tuple(listed.values()), configuration.name
+    around = Surroundings(profiles, deployment.zones, deployment.kinds, engines, name)
     return load_operator_file(path, around)
 
 
@@ -124,6 +125,9 @@
         print(f"level {level.name}: enter {level.enter}; leave {level.leave}")
     for cell, _ in file.cells.cells if file.cells else ():
         print(f"cell {cell.name}{', quarantine' if cell.quarantine else ''}")
+    if file.fleet is not None:
+        keepers = ", ".join(each.name for each in file.fleet.keepers)
+        print(f"fleet {file.fleet.group}: keepers {keepers}; tasks {', '.join(file.fleet.tasks) or 'none'}")
     if (file.ladder is not None or file.cells is not None) and not arguments.config:
         print("names of profiles, zones and kinds were not checked: give --config too")
     return 0
--- a/lotusstream/cli/ctl.py
+++ b/lotusstream/cli/ctl.py
@@ -125,7 +125,7 @@
     return file.control.path
 
 
-def _gateway(context: click.Context) -> Gateway:
+def gateway_of(context: click.Context) -> Gateway:
     found = context.find_object(Gateway)
     assert found is not None
     return found
@@ -169,7 +169,7 @@
 @click.pass_context
 def status(context: click.Context) -> None:
     """The gateway at a glance."""
-    _gateway(context).show(_gateway(context).ask(wire.Status()), render.status)
+    gateway_of(context).show(gateway_of(context).ask(wire.Status()), render.status)
 
 
 @ctl.command()
@@ -178,7 +178,7 @@
 @click.pass_context
 def levels(context: click.Context, history: int, expect: str | None) -> None:
     """The level in force, why, what would change it, and the signals."""
-    gateway = _gateway(context)
+    gateway = gateway_of(context)
     told = gateway.ask(wire.Levels(history))
     gateway.show(told, render.levels)
     if expect is not None and told["level"] != expect:
@@ -189,7 +189,7 @@
 @click.pass_context
 def engines(context: click.Context) -> None:
     """The engines as the module believes them."""
-    _gateway(context).show(_gateway(context).ask(wire.Engines()), render.engines)
+    gateway_of(context).show(gateway_of(context).ask(wire.Engines()), render.engines)
 
 
 @ctl.command()
@@ -197,14 +197,14 @@
 @click.pass_context
 def commands(context: click.Context, most: int) -> None:
     """The open commands, oldest first."""
-    _gateway(context).show(_gateway(context).ask(wire.Commands(most)), render.commands)
+    gateway_of(context).show(gateway_of(context).ask(wire.Commands(most)), render.commands)
 
 
 @ctl.command()
 @click.pass_context
 def counters(context: click.Context) -> None:
     """What was taken, sent and answered since the start."""
-    _gateway(context).show(_gateway(context).ask(wire.CountersAsked()), render.counters)
+    gateway_of(context).show(gateway_of(context).ask(wire.CountersAsked()), render.counters)
 
 
 @ctl.command()
@@ -213,7 +213,7 @@
 @click.pass_context
 def watch(context: click.Context, every: int, count: int | None) -> None:
     """A live screen of status, level and engines, until interrupted. With --json: one object a line."""
-    gateway = _gateway(context)
+    gateway = gateway_of(context)
     looks = _looks(gateway, every / 1e6, count)
     if gateway.as_json:
         for look in looks:
@@ -247,7 +247,7 @@
 @click.pass_context
 def hold(context: click.Context, name: str, span: int) -> None:
     """Hold level NAME ('full' for none) for a time, whatever the signals say."""
-    gateway = _gateway(context)
+    gateway = gateway_of(context)
     gateway.show(gateway.ask(wire.HoldLevel(name, span)), render.levels)
 
 
@@ -255,7 +255,7 @@
 @click.pass_context
 def release(context: click.Context) -> None:
     """Let the signals decide again, from the level that was held."""
-    gateway = _gateway(context)
+    gateway = gateway_of(context)
     gateway.show(gateway.ask(wire.ReleaseLevel()), render.levels)
 
 
@@ -264,7 +264,7 @@
 def cells(context: click.Context) -> None:
     """The cells, who is on the way between them, and moves by hand."""
     if context.invoked_subcommand is None:
-        _gateway(context).show(_gateway(context).ask(wire.Cells()), render.cells)
+        gateway_of(context).show(gateway_of(context).ask(wire.Cells()), render.cells)
 
 
 @cells.command()
@@ -272,7 +272,7 @@
 @click.pass_context
 def where(context: click.Context, tenant: str) -> None:
     """The cell of a tenant."""
-    _gateway(context).show(_gateway(context).ask(wire.Cells(tenant)), render.cells)
+    gateway_of(context).show(gateway_of(context).ask(wire.Cells(tenant)), render.cells)
 
 
 @cells.command()
@@ -282,7 +282,7 @@
 @click.pass_context
 def move(context: click.Context, tenant: str, cell: str, dry_run: bool) -> None:
     """Move a TENANT to a CELL: fenced, drained, rested, switched."""
-    _gateway(context).show(_gateway(context).ask(wire.MoveCell(tenant, cell, dry_run)), render.cells)
+    gateway_of(context).show(gateway_of(context).ask(wire.MoveCell(tenant, cell, dry_run)), render.cells)
 
 
 @cells.command()
@@ -290,11 +290,13 @@
 @click.pass_context
 def abort(context: click.Context, tenant: str) -> None:
     """Undo a move that is not switched yet."""
-    _gateway(context).show(_gateway(context).ask(wire.AbortMove(tenant)), render.cells)
+    gateway_of(context).show(gateway_of(context).ask(wire.AbortMove(tenant)), render.cells)
 
 
 def run(words: list[str]) -> int:
     """As a program: the status to end with."""
+    import lotusstream.cli.ctl_fleet  # noqa: F401 - its commands join those of ctl
+
     try:
         program.main(words, prog_name="lotusstream", standalone_mode=False)
     except click.exceptions.Exit as error:
--- /dev/null
+++ b/lotusstream/cli/ctl_fleet.py
@@ -0,0 +1,69 @@
+"""`lotusstream ctl` for the fleet: peers, the quorum's keepers, leases."""
+
+from __future__ import annotations
+
+import click
+
+from lotusstream.cli import render
+from lotusstream.cli.ctl import ctl, gateway_of
+from lotusstream.protocol import control as wire
+
+
+@ctl.command()
+@click.pass_context
+def peers(context: click.Context) -> None:
+    """The lines between this gateway and others."""
+    gateway_of(context).show(gateway_of(context).ask(wire.Peers()), render.peers)
+
+
+@ctl.group()
+def quorum() -> None:
+    """The keepers of the log that leases rest on."""
+
+
+@quorum.command()
+@click.pass_context
+def status(context: click.Context) -> None:
+    """Who leads, who keeps, and who is behind."""
+    gateway_of(context).show(gateway_of(context).ask(wire.Quorum()), render.quorum)
+
+
+@quorum.command()
+@click.argument("name")
+@click.pass_context
+def add(context: click.Context, name: str) -> None:
+    """Take the running keeper NAME in: it learns first, and votes once it has all."""
+    gateway_of(context).show(gateway_of(context).ask(wire.ChangeKeeper(name, True)), render.quorum)
+
+
+@quorum.command()
+@click.argument("name")
+@click.pass_context
+def remove(context: click.Context, name: str) -> None:
+    """Take the keeper NAME out."""
+    gateway_of(context).show(gateway_of(context).ask(wire.ChangeKeeper(name, False)), render.quorum)
+
+
+@ctl.group(invoke_without_command=True)
+@click.pass_context
+def leases(context: click.Context) -> None:
+    """Who may act for the fleet, under which token."""
+    if context.invoked_subcommand is None:
+        gateway_of(context).show(gateway_of(context).ask(wire.Leases()), render.leases)
+
+
+@leases.command()
+@click.argument("task")
+@click.pass_context
+def release(context: click.Context, task: str) -> None:
+    """Take TASK from its holder: at once if that is this gateway, else at its next renewal."""
+    gateway_of(context).show(gateway_of(context).ask(wire.GiveUpLease(task)), render.leases)
+
+
+@leases.command(name="hand-over")
+@click.argument("task")
+@click.argument("gateway")
+@click.pass_context
+def hand_over(context: click.Context, task: str, gateway: str) -> None:
+    """As release, and nobody but GATEWAY gets it for the length of a lease."""
+    gateway_of(context).show(gateway_of(context).ask(wire.GiveUpLease(task, gateway)), render.leases)
--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -159,6 +159,52 @@
     return Group(*parts, "", moves) if told["moves"] else Group(*parts)
 
 
+def peers(told: Mapping[str, Any]) -> RenderableType:
+    table = _table("peer", "this gateway's line to it", "its lines to here>")
+    names = sorted({*told["links"], *told["callers"]})
+    for name in names:
+        table.add_row(name, told["links"].get(name, ""), str(told["callers"].get(name, 0)))
+    return Group(_pairs([("gateway", told["name"]), ("group", told["group"])]), "", table)
+
+
+def _keeper(told: Mapping[str, Any]) -> str:
+    if told.get("trouble") or told["role"] == "none":
+        return f"stands still: {told.get('trouble')}"
+    return f"{told['role']} in term {told['term']}, {told['commit']} of {told['last']} entries agreed"
+
+
+def quorum(told: Mapping[str, Any]) -> RenderableType:
+    here, agreed = told["here"], told["agreed"]
+    rows = [("here", _keeper(here) if here else "no keeper, a client of them")]
+    if agreed is None:
+        return _pairs([*rows, ("quorum", f"none: {told['why']}")])
+    rows += [("leader", agreed["leader"]), ("group", agreed["group"])]
+    rows.append(("agreed", f"{agreed['commit']} entries, term {agreed['term']}"))
+    table = _table("keeper", "disk", "votes", "behind>")
+    for member in agreed["members"]:
+        behind = "" if member["behind"] is None else str(member["behind"])
+        table.add_row(member["name"], member["disk"], MARKS[member["voter"]], behind)
+    return Group(_pairs(rows), "", table)
+
+
+def leases(told: Mapping[str, Any]) -> RenderableType:
+    agreed = told["agreed"]
+    table = _table("task", "holder", "token>", "renewed>", "granted>", "next", "")
+    for lease in agreed["leases"] if agreed else []:
+        table.add_row(
+            lease["task"], lease["holder"] or "nobody", str(lease["token"]), str(lease["renewed"]),
+            str(lease["granted"]), lease["heir"], "taken back" if lease["ending"] else "",
+        )  # fmt: skip
+    rows = [("gateway", told["name"])]
+    for task, token in told["here"].items():
+        since = span(told["held_us"].get(task, 0))
+        rows.append((task, f"held under token {token}, for {since}" if token else "not held here"))
+    if agreed is None:
+        rows.append(("quorum", f"none: {told['why']}"))
+        return _pairs(rows)
+    return Group(_pairs(rows), "", table)
+
+
 def look(told: Mapping[str, Any]) -> RenderableType:
     parts: list[RenderableType] = [status(told["status"]), ""]
     if "levels" in told:
--- /dev/null
+++ b/lotusstream/lab/fleet/rig.py
@@ -0,0 +1,347 @@
+"""Starts a fleet of real `lotusstream serve` processes on this machine, breaks what lies between them, and
+leaves nothing behind: no process, port or file, whatever happened."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from lotusstream.lab.fleet.process import CLOCK, OK, WITNESS
+from lotusstream.lab.fleet.relay import Manner, Relay
+from lotusstream.lab.fleet.witness import Witness
+from lotusstream.protocol import control as wire
+
+READY_WITHIN = 20.0  # seconds
+LATEST = 400  # lines of a process that are kept
+
+
+class Lost(Exception):
+    """A process did not do what it was started for; its last lines are told."""
+
+
+def settings() -> dict[str, Any]:
+    """A small deployment: enough for a gateway to start."""
+    return {
+        "flavors": ["std"],
+        "zones": ["here"],
+        "n_instances": 1,
+        "period": 1000,
+        "not known": [],
+        "limits": {
+            "cancelling": True,
+            "second_copies": True,
+            "conn_idle": 30_000_000,
+            "max_attempts": 5,
+            "connect_timeout": 250_000,
+            "max_open": 20000,
+            "retry_after": True,
+            "max_retry_after": 500_000,
+        },
+        "rules": {
+            "cold_from": 0.3,
+            "warm_up": 15_000_000,
+            "fall_multiple": 4.0,
+            "overload_for": 1_000_000,
+            "drain_grace": 2_000_000,
+        },
+        "specifics": {
+            "cpu_of_kind": [8],
+            "threads_by_class": [1],
+            "writes_tables": [False],
+            "class_waits": [True],
+            "ranks_heeded": True,
+        },
+        "request_classes": [
+            {
+                "name": "lookup",
+                "aim": 2_000_000,
+                "deadline": 6_000_000,
+                "effect": "repeatable",
+                "gain": 1.0,
+                "group": "all",
+                "window": 15_000_000,
+            }
+        ],
+    }
+
+
+def free_port() -> int:
+    """One that the system picks; nobody else is given it while this process has not used it up."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class Gateway:
+    """One process. Its folder is its disk."""
+
+    def __init__(self, fleet: FleetRig, name: str, keeper: bool) -> None:
+        self.fleet, self.name, self.keeper = fleet, name, keeper
+        self.folder = fleet.folder / name
+        self.folder.mkdir()
+        self.store = self.folder / "store"
+        self.socket = self.folder / "control"
+        self.process: asyncio.subprocess.Process | None = None
+        self.lines: list[str] = []
+        self._reading: asyncio.Task[None] | None = None
+        self._ready = asyncio.Event()
+        self.stopped = False
+        self.set_clock(1.0, 0)
+        self.set_disk(OK)
+
+    def set_clock(self, rate: float, ahead: int) -> None:
+        """`ahead` in microseconds."""
+        path = self.folder / "clock"
+        if not path.exists():
+            path.write_bytes(CLOCK.pack(rate, ahead))
+        else:
+            with path.open("r+b") as file:  # the same file: the process has it mapped
+                file.write(CLOCK.pack(rate, ahead))
+
+    def set_disk(self, word: str) -> None:
+        made = self.folder / "disk.new"
+        made.write_text(word)
+        made.replace(self.folder / "disk")
+
+    def _configure(self) -> list[str]:
+        rig = self.fleet
+        configuration = {
+            "name": self.name,
+            "listen": "127.0.0.1:0",
+            "seed": f"{rig.seed * 1000 + int(self.name[1:]):016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "board": f"127.0.0.1:{rig.board}",
+            "known": {"rev": 0, "notices": []},
+            "settings": settings(),
+        }
+        lines = [f'control "{self.socket}"', "log json info", "fleet", f"  group {rig.group}"]
+        for other in rig.keepers:
+            port = rig.ports[other] if other == self.name else rig.relays[self.name, other].port
+            lines.append(f'  keeper {other} "127.0.0.1:{port}"')
+        if self.keeper:
+            lines.append(f'  store "{self.store}"')
+        lines += [f"  {line}" for line in rig.directives]
+        lines += [f"  tasks {' '.join(rig.tasks)}" if rig.tasks else "", "end", *rig.more, ""]
+        (self.folder / "config.json").write_text(json.dumps(configuration))
+        (self.folder / "operator.conf").write_text("\n".join(lines))
+        return [
+            "--config",
+            str(self.folder / "config.json"),
+            "--operator",
+            str(self.folder / "operator.conf"),
+        ]
+
+    async def start(self) -> None:
+        words = self._configure()
+        self._ready.clear()
+        self.stopped = False
+        environment = os.environ | {"LOTUSSTREAM_WITNESS": f"127.0.0.1:{self.fleet.witness.port}"}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "lotusstream.lab.fleet.process", str(self.folder), "serve", *words,
+            stderr=asyncio.subprocess.PIPE, stdin=asyncio.subprocess.DEVNULL, env=environment,
+            start_new_session=True,
+        )  # fmt: skip
+        self._reading = asyncio.create_task(self._read(self.process))
+
+    async def ready(self) -> None:
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                await self._ready.wait()
+        except TimeoutError as error:
+            raise Lost(f"{self.name} did not come up: {self.lines[-5:]}") from error
+        if self.process is None or self.process.returncode is not None:
+            raise Lost(f"{self.name} ended at its start: {self.lines[-5:]}")
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        async for line in process.stderr:
+            text = line.decode(errors="replace").rstrip()
+            self.lines.append(text)
+            del self.lines[:-LATEST]
+            self.fleet.heard(self.name, text)
+            if '"listening"' in text:
+                self._ready.set()
+        self._ready.set()
+
+    @property
+    def up(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: int) -> None:
+        assert self.process is not None
+        if self.up:
+            self.process.send_signal(number)
+        self.stopped = number == signal.SIGSTOP or (self.stopped and number != signal.SIGCONT)
+
+    async def kill(self) -> None:
+        if self.process is None:
+            return
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+        if self._reading is not None:
+            await self._reading
+
+    async def leave(self) -> int:
+        """A planned stop; the status it ends with."""
+        assert self.process is not None
+        self.signal(signal.SIGTERM)
+        async with asyncio.timeout(READY_WITHIN):
+            return await self.process.wait()
+
+    def wipe(self) -> None:
+        shutil.rmtree(self.store, ignore_errors=True)
+
+    def copy_disk(self) -> Path:
+        kept = self.folder / f"older-{time.monotonic_ns()}"
+        shutil.copytree(self.store, kept)
+        return kept
+
+    def roll_back(self, kept: Path) -> None:
+        self.wipe()
+        shutil.copytree(kept, self.store)
+
+    async def ask(self, request: wire.Asking) -> Any:
+        """By its control socket. Raises Lost with the refusal."""
+        reader, writer = await asyncio.open_unix_connection(str(self.socket))
+        try:
+            writer.write(wire.encode_request(request))
+            async with asyncio.timeout(10):
+                (length,) = wire.LENGTH.unpack(await reader.readexactly(4))
+                reply = wire.decode_reply(await reader.readexactly(length))
+        finally:
+            writer.transport.abort()
+        if reply.refused is not None:
+            raise Lost(f"{self.name}: {reply.refused.why}")
+        return reply.told
+
+
+class FleetRig:
+    """`async with FleetRig(...)`: started on entering, gone on leaving."""
+
+    def __init__(
+        self, gateways: int = 3, keepers: int = 3, *, seed: int = 1, tasks: tuple[str, ...] = (WITNESS,),
+        directives: tuple[str, ...] = ("heartbeat 50ms", "election 250ms", "lease 1500ms", "drift 5%"),
+        more: tuple[str, ...] = (), tell: Callable[[str], None] | None = None,
+    ) -> None:  # fmt: skip
+        """`tell`: gets the story, a line at a time."""
+        self.seed, self.tasks, self.directives, self.more = seed, tasks, directives, more
+        self.names = [f"g{at}" for at in range(1, gateways + 1)]
+        self.keepers = self.names[:keepers]
+        self.group, self._tell, self.began = f"rig{seed}", tell, time.monotonic()
+        self.folder = Path()
+        self.gateways: dict[str, Gateway] = {}
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self.ports: dict[str, int] = {}
+        self.witness = Witness()
+        self.board = 0
+        self.story: list[str] = []
+        self.leader = ""
+        self._leads = asyncio.Event()
+
+    def say(self, text: str) -> None:
+        line = f"{time.monotonic() - self.began:7.2f} s  {text}"
+        self.story.append(line)
+        if self._tell is not None:
+            self._tell(line)
+
+    def heard(self, name: str, line: str) -> None:
+        try:
+            told = json.loads(line)
+        except ValueError:
+            return
+        if told.get("event") == "quorum" and told.get("role") == "leader":
+            self.leader = name
+            self._leads.set()
+        if told.get("event") in ("quorum", "lease", "failed"):
+            self.say(f"{name}: {told['event']}: {told.get('text', '')}")
+
+    async def __aenter__(self) -> FleetRig:
+        self.folder = Path(tempfile.mkdtemp(prefix="lotusstream-rig-"))
+        try:
+            await self.witness.start()
+            self.board = free_port()
+            self.ports = {name: free_port() for name in self.keepers}
+            for source in self.names:
+                for target in self.keepers:
+                    if source != target:
+                        relay = self.relays[source, target] = Relay(self.ports[target])
+                        await relay.start()
+            for name in self.names:
+                self.gateways[name] = Gateway(self, name, name in self.keepers)
+            await asyncio.gather(*(gateway.start() for gateway in self.gateways.values()))
+            await asyncio.gather(*(gateway.ready() for gateway in self.gateways.values()))
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await asyncio.gather(*(gateway.kill() for gateway in self.gateways.values()), return_exceptions=True)
+        for relay in self.relays.values():
+            relay.stop()
+        self.witness.stop()
+        await asyncio.to_thread(shutil.rmtree, self.folder, ignore_errors=True)
+
+    # Faults by name
+
+    def behave(self, source: str, target: str, manner: Manner) -> None:
+        if (relay := self.relays.get((source, target))) is not None:
+            relay.behave(manner)
+
+    def cut(self, *side: str) -> None:
+        """Between those named and all others, both ways."""
+        self.say(f"cut off: {', '.join(side)}")
+        for source, target in self.relays:
+            if (source in side) != (target in side):
+                self.behave(source, target, Manner(cut=True))
+
+    def mute(self, name: str) -> None:
+        """Nothing that this one opens gets through; others still reach it."""
+        self.say(f"one way: {name} is not heard")
+        for source, target in self.relays:
+            if source == name:
+                self.behave(source, target, Manner(mute=True))
+
+    def isolate_inbound(self, name: str) -> None:
+        self.say(f"one way: {name} hears nothing")
+        for source, target in self.relays:
+            if target == name:
+                self.behave(source, target, Manner(mute=True))
+
+    def heal(self) -> None:
+        self.say("all lines pass again")
+        for relay in self.relays.values():
+            relay.behave(Manner())
+
+    async def led(self, other_than: str = "", within: float = READY_WITHIN) -> str:
+        """The name of a leader, once one is said to be elected."""
+        async with asyncio.timeout(within):
+            while not self.leader or self.leader == other_than:
+                self._leads.clear()
+                await self._leads.wait()
+        return self.leader
+
+    async def until(
+        self, wanted: Callable[[Any], bool], of: str, request: wire.Asking, within: float = 20.0
+    ) -> Any:
+        """Asked again and again, until the answer is as wanted."""
+        async with asyncio.timeout(within):
+            while True:
+                with contextlib.suppress(Lost, OSError, asyncio.IncompleteReadError):
+                    told = await self.gateways[of].ask(request)
+                    if wanted(told):
+                        return told
+                await asyncio.sleep(0.05)
--- a/lotusstream/leases/desk.py
+++ b/lotusstream/leases/desk.py
@@ -100,6 +100,10 @@
             if not todo:
                 return out
 
+    def waiting(self) -> list[tuple[object, int]]:
+        """Callers and numbers that have no answer yet."""
+        return list(self._tickets.values())
+
     def _take(self, caller: object, number: int) -> int:
         self._ticket += 1
         self._tickets[self._ticket] = (caller, number)
--- a/lotusstream/net/clock.py
+++ b/lotusstream/net/clock.py
@@ -11,3 +11,8 @@
 
     def now(self) -> int:
         return (time.monotonic_ns() + self._ahead) // 1000
+
+
+def boot_clock() -> int:
+    """Whole microseconds that count while the machine sleeps too, and never step: for leases."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
--- /dev/null
+++ b/lotusstream/net/fleet.py
@@ -0,0 +1,264 @@
+"""A gateway's part in the fleet: it asks for leases, carries out its tasks, may be a keeper of the quorum.
+Imported only where the operator file has a fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from typing import Any
+
+from lotusstream.leases import holder as hold
+from lotusstream.leases.desk import Asked, Changed, LookedUp
+from lotusstream.leases.table import TakeBack
+from lotusstream.net import clock
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.connection import US
+from lotusstream.net.control import Refused
+from lotusstream.net.decider import Decider
+from lotusstream.net.keeper import KeeperActor, KeeperTerms, open_store
+from lotusstream.net.peers import Answer, PeerLink, PeerManners, PeerServer
+from lotusstream.net.tasks import MAKERS, Around, Task
+from lotusstream.operator.fleet import FleetText
+from lotusstream.protocol import peers as wire
+from lotusstream.quorum import events as ev
+from lotusstream.quorum.messages import Envelope
+from lotusstream.record.log import DiskTrouble
+
+ANSWER_WITHIN = 3.0  # seconds, of an operator's question
+
+
+class HolderActor(Actor[hold.Event]):
+    """Drives the holder on the clock that counts sleep, and the tasks by what it says."""
+
+    def __init__(
+        self, name: str, told: FleetText, seed: int, ask: Any, decider: Decider, supervisor: Supervisor
+    ) -> None:
+        super().__init__("leases", supervisor)
+        names = [each.name for each in told.keepers]
+        session = f"{name}-{uuid.uuid4().hex[:12]}"
+        self.holder = hold.Holder(name, session, names, told.leases, seed)
+        self._ask = ask
+        self._timer: asyncio.TimerHandle | None = None
+        self.since: dict[str, int] = {}
+        self.tasks: dict[str, Task] = {
+            task: MAKERS[task](Around(name, self._may_act(task), decider.post, supervisor))
+            for task in told.tasks
+        }
+
+    def _may_act(self, task: str) -> Any:
+        return lambda: self.holder.may_act(clock.boot_clock(), task)
+
+    def start(self) -> None:
+        super().start()
+        for name, task in self.tasks.items():
+            task.stop("not held yet")
+            self.post(hold.Want(name))
+
+    async def receive(self, message: hold.Event) -> None:
+        now = clock.boot_clock()
+        for action in self.holder.handle(now, message):
+            match action:
+                case hold.Ask(number, keeper, wish):
+                    self._ask(keeper, number, wish)
+                case hold.Begin(task, token):
+                    self.since[task] = now
+                    self.supervisor.counters.add("leases got")
+                    self._say(task, token, f"held here under token {token}")
+                    self.tasks[task].begin(token)
+                case hold.Stop(task, token, why):
+                    self.since.pop(task, None)
+                    self.supervisor.counters.add("leases ended")
+                    self._say(task, token, f"token {token} not held here any more: {why}")
+                    self.tasks[task].stop(why)
+        if self._timer is not None:
+            self._timer.cancel()
+        pause = max(1000, self.holder.next_at - clock.boot_clock())
+        self._timer = asyncio.get_running_loop().call_later(pause / US, self.post, hold.Tick())
+
+    def _say(self, task: str, token: int, text: str) -> None:
+        self.supervisor.log.say("lease", f"{task}: {text}", "info", task=task, token=token)
+
+    async def stop(self) -> None:
+        await super().stop()
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class Fleet:
+    def __init__(
+        self, told: FleetText, name: str, seed: int, decider: Decider, supervisor: Supervisor
+    ) -> None:
+        """Raises LogTrouble where this keeper's log can't be trusted."""
+        self._told, self._name, self._supervisor = told, name, supervisor
+        self._asked: dict[int, asyncio.Future[wire.Told]] = {}
+        self._number = 0
+        manners = PeerManners(told.group, name, told.patience, told.callers)
+        idle = 3 * told.leases.length
+        self.links = {
+            each.name: PeerLink(each.name, (each.host, each.port), manners, idle, self._told_by, supervisor)
+            for each in told.keepers
+            if each.name != name
+        }
+        self.keeper: KeeperActor | None = None
+        self._server: PeerServer | None = None
+        if (mine := told.keeper(name)) is not None:
+            assert told.store is not None
+            try:
+                store = open_store(told.store)
+            except DiskTrouble as error:
+                store = None
+                supervisor.log.say("quorum", f"this keeper stands still: {error}", "error")
+            named = tuple(each.name for each in told.keepers)
+            terms = KeeperTerms(name, told.store, named, told.pace, told.leases, seed)
+            self.keeper = KeeperActor(terms, store, self._carry, supervisor)
+            address = told.listen or (mine.host, mine.port)
+            self._server = PeerServer(address, manners, self._heard, supervisor)
+        self.holder = HolderActor(name, told, seed, self._ask, decider, supervisor)
+
+    def start(self) -> None:
+        """Raises OSError where peers can't be taken."""
+        if self._server is not None:
+            self._server.start()
+        if self.keeper is not None:
+            self.keeper.start()
+        for link in self.links.values():
+            link.start()
+        self.holder.start()
+
+    async def leave(self) -> None:
+        """A planned stop: leases are released and leadership is handed over, as far as that goes at once."""
+        for task in self.holder.tasks:
+            self.holder.post(hold.Unwant(task))
+        if self.keeper is not None:
+            self.keeper.post(ev.Leave())
+
+    async def stop(self) -> None:
+        await self.holder.stop()
+        if self._server is not None:
+            self._server.stop()
+        if self.keeper is not None:
+            await self.keeper.stop()
+
+    # Words of others
+
+    def _heard(self, frame: wire.AnyFrame, sender: str, answer: Answer) -> None:
+        """By a connection that another gateway has opened."""
+        assert self.keeper is not None
+        match frame:
+            case wire.Quorum(envelope):
+                if envelope.sender == sender:
+                    self.keeper.post(ev.Received(envelope))
+            case wire.Ask(number, wish):
+                self.keeper.post(Asked(answer, number, wish))
+            case wire.Look(number):
+                self.keeper.post(LookedUp(answer, number))
+            case wire.Alter(number, name, add):
+                self.keeper.post(Changed(answer, number, name, add))
+
+    def _told_by(self, frame: wire.AnyFrame, _sender: str, _answer: Answer) -> None:
+        if isinstance(frame, wire.Told):
+            self._take(frame)
+
+    def _take(self, told: wire.Told) -> None:
+        if (waiting := self._asked.pop(told.number, None)) is not None:
+            if not waiting.done():
+                waiting.set_result(told)
+        else:
+            self.holder.post(hold.Answered(told.number, told.granted, told.leader))
+
+    def _carry(self, envelope: Envelope) -> None:
+        if (link := self.links.get(envelope.to)) is not None:
+            link.put(wire.Quorum(envelope))
+
+    def _ask(self, keeper: str, number: int, wish: Any) -> None:
+        if keeper == self._name and self.keeper is not None:
+            self.keeper.post(Asked(self._take, number, wish))
+        elif (link := self.links.get(keeper)) is not None:
+            link.put(wire.Ask(number, wish))
+
+    # For operators
+
+    async def _question(self, make: Any) -> wire.Told:
+        """Asks one keeper after the other for the leader's answer. Raises Refused."""
+        self._number -= 1  # those of the holder grow
+        order, why = [each.name for each in self._told.keepers], "no keeper answers"
+        for _ in range(len(order) + 2):
+            if not order:
+                break
+            name, number = order.pop(0), self._number
+            waiting: asyncio.Future[wire.Told] = asyncio.get_running_loop().create_future()
+            self._asked[number] = waiting
+            if name == self._name and self.keeper is not None:
+                match make(number):
+                    case wire.Look():
+                        self.keeper.post(LookedUp(self._take, number))
+                    case wire.Alter(_, who, add):
+                        self.keeper.post(Changed(self._take, number, who, add))
+                    case wire.Ask(_, wish):
+                        self.keeper.post(Asked(self._take, number, wish))
+            else:
+                self.links[name].put(make(number))
+            try:
+                told = await asyncio.wait_for(waiting, ANSWER_WITHIN / 3)
+            except TimeoutError:
+                self._asked.pop(number, None)
+                continue
+            self._number -= 1
+            if told.done or (told.granted is not None):
+                return told
+            why = told.why or why
+            if told.leader in order:
+                order.remove(told.leader)
+                order.insert(0, told.leader)
+            elif told.leader == name:
+                break
+        raise Refused("busy", why)
+
+    def peers(self) -> dict[str, Any]:
+        callers = dict(self._server.callers) if self._server else {}
+        links = {name: link.standing for name, link in self.links.items()}
+        return {"name": self._name, "group": self._told.group, "links": links, "callers": callers}
+
+    async def quorum(self) -> dict[str, Any]:
+        here = self.keeper.view() if self.keeper else None
+        try:
+            view = (await self._question(wire.Look)).view
+            return {"here": here, "agreed": view, "why": ""}
+        except Refused as error:
+            return {"here": here, "agreed": None, "why": str(error)}
+
+    async def change(self, name: str, add: bool) -> dict[str, Any]:
+        if add and self._told.keeper(name) is None:
+            known = ", ".join(each.name for each in self._told.keepers)
+            raise Refused("unknown", f"no keeper '{name}' in the operator file: it has {known}")
+        await self._question(lambda number: wire.Alter(number, name, add))
+        return await self.quorum()
+
+    async def leases(self) -> dict[str, Any]:
+        told = await self.quorum()
+        now = clock.boot_clock()
+        holding = {task: self.holder.holder.may_act(now, task) for task in self.holder.tasks}
+        since = {task: now - at for task, at in self.holder.since.items()}
+        return {
+            "name": self._name,
+            "here": holding,
+            "held_us": since,
+            "agreed": told["agreed"],
+            "why": told["why"],
+        }
+
+    async def give_up(self, task: str, heir: str) -> dict[str, Any]:
+        """Takes a lease from whoever has it: released at once if that is this gateway."""
+        found = await self.leases()
+        rows = {row["task"]: row for row in (found["agreed"] or {}).get("leases", [])}
+        if task not in rows or not rows[task]["token"]:
+            raise Refused("unknown", f"nobody holds '{task}'")
+        if rows[task]["holder"] == self._name and task in self.holder.tasks:
+            self.holder.post(hold.Unwant(task, heir))
+            self.holder.post(hold.Want(task))
+        else:
+            wish = TakeBack(task, rows[task]["token"], heir)
+            told = await self._question(lambda number: wire.Ask(number, wish))
+            if told.granted is not None and not told.granted.done:
+                raise Refused("unknown", told.granted.why)
+        return await self.leases()
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -26,6 +26,7 @@
     from lotusstream.cells.keeper import CellKeeper
     from lotusstream.levels.keeper import LevelKeeper
     from lotusstream.net.control import ControlServer
+    from lotusstream.net.fleet import Fleet
     from lotusstream.net.moves import MoveWriter
     from lotusstream.net.operated import Operated
     from lotusstream.operator.file import OperatorFile
@@ -90,7 +91,11 @@
         self._spare = most // 32  # for connections that have just come or are about to close
         most_clients = most // 3 + self._spare
         control = operator.control.clients + 2 if operator and operator.control else 0
-        self._budget = SocketBudget(most - most_clients - self._spare - OWN - control)
+        fleet = operator.fleet.descriptors(configuration.name) if operator and operator.fleet else 0
+        left = most - most_clients - self._spare - OWN - control - fleet
+        if fleet and left < most // 8:
+            raise UnusableConfiguration(f"fleet: {fleet} of {most} descriptors for peers; lower 'peers-most'")
+        self._budget = SocketBudget(left)
         self._share = ClientShare(most_clients, self._clock, self.supervisor)
         self._unread = Unread(memory // 8)
         if operator is not None and operator.log is not None:  # before anything has something to say
@@ -106,6 +111,7 @@
         self._listener: socket.socket | None = None
         self._operated, self._control = self._operate(operator, keeper)
         self._tenants = self._tenant_of()
+        self._fleet = self._fleet_of(operator)
 
     def _keeper(self, operator: OperatorFile | None) -> tuple[LevelKeeper | None, BesideModule | None]:
         if operator is None or operator.ladder is None:
@@ -176,6 +182,19 @@
         )
         return operated, control_server(operator, operated, self.supervisor)
 
+    def _fleet_of(self, operator: OperatorFile | None) -> Fleet | None:
+        if operator is None or operator.fleet is None or self._operated is None:
+            return None
+        from lotusstream.net.fleet import Fleet
+        from lotusstream.record.log import LogTrouble
+
+        name, seed = self._configuration.name, self._configuration.deployment.started.seed
+        try:
+            self._operated.fleet = Fleet(operator.fleet, name, seed, self._decider, self.supervisor)
+        except LogTrouble as error:
+            raise UnusableConfiguration(f"fleet: {error}") from error
+        return self._operated.fleet
+
     @property
     def address(self) -> Endpoint:
         assert self._listener is not None
@@ -199,6 +218,12 @@
             except Exception as error:
                 listener.close()
                 raise UnusableConfiguration(f"control: {error}") from error
+        if self._fleet is not None:
+            try:
+                self._fleet.start()
+            except OSError as error:
+                listener.close()
+                raise UnusableConfiguration(f"fleet: peers can't be taken: {error}") from error
         self._announce()
         self._decider.start()
         self._list.start()
@@ -311,6 +336,8 @@
     async def drain(self) -> None:
         """A planned stop: takes what still comes, and returns once all is read and answered or time is up."""
         self._share.stopping = True
+        if self._fleet is not None:
+            await self._fleet.leave()
         began = self._clock.now()
         longest = max(profile.client_timeout for profile in self._configuration.deployment.started.profiles)
         by = began + min(longest, LONGEST_WAIT) + COME_ON
@@ -338,6 +365,8 @@
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
+        if self._fleet is not None:
+            await self._fleet.stop()
         await self.supervisor.stop()
         if self._writer is not None:
             self._writer.close()
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -25,6 +25,7 @@
 from lotusstream.protocol import control as wire
 
 if TYPE_CHECKING:
+    from lotusstream.net.fleet import Fleet
     from lotusstream.net.gateway import Configuration
 
 TICK = 0.25  # seconds, where no ladder names a window
@@ -51,6 +52,7 @@
         self._own, self._clock, self._supervisor = own, clock, supervisor
         self._started = clock.now()
         self._logged = 0
+        self.fleet: Fleet | None = None
         self._used: tuple[float, OwnUse] | None = None
 
     @property
@@ -134,8 +136,23 @@
                 return await self._move(tenant, cell, dry_run)
             case wire.AbortMove(tenant):
                 return await self._abort(tenant)
+            case wire.Peers():
+                return self._fleet_part().peers()
+            case wire.Quorum():
+                return await self._fleet_part().quorum()
+            case wire.ChangeKeeper(name, add):
+                return await self._fleet_part().change(name, add)
+            case wire.Leases():
+                return await self._fleet_part().leases()
+            case wire.GiveUpLease(task, heir):
+                return await self._fleet_part().give_up(task, heir)
         raise Refused("unknown", "no such request")
 
+    def _fleet_part(self) -> Fleet:
+        if self.fleet is None:
+            raise Refused("absent", "the operator file has no fleet: add one, and start the gateway anew")
+        return self.fleet
+
     async def _view(self) -> View:
         answer: asyncio.Future[View] = asyncio.get_running_loop().create_future()
         self._decider.post(Describe(answer))
--- /dev/null
+++ b/lotusstream/net/peers.py
@@ -0,0 +1,302 @@
+"""TCP between gateways: frames both ways, everything bounded. A peer that is slow, silent or talks nonsense
+loses its connection and harms nobody: what is told here may always be lost, and is told again."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import zlib
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lotusstream.net.actor import Supervisor
+from lotusstream.net.buffer import Buffer, BufferFull
+from lotusstream.net.connection import US, Endpoint
+from lotusstream.protocol import peers as wire
+
+QUEUE = 512  # frames that wait for one peer; what comes on top of them is lost
+QUEUE_BYTES = 4 << 20
+BACK_OFF = (0.05, 2.0)  # seconds between two tries to connect, at first and at most
+
+
+@dataclass(frozen=True, slots=True)
+class PeerManners:
+    """`patience`: microseconds in which a peer takes what is sent, and answers a ping. `callers`: connections
+    that are taken at once."""
+
+    group: str
+    name: str
+    patience: int
+    callers: int
+
+
+Answer = Callable[[wire.AnyFrame], None]
+Handler = Callable[[wire.AnyFrame, str, Answer], None]  # the frame, who sent it, how to answer
+
+
+class Line:
+    """One connection with its queue: both directions, until either breaks."""
+
+    def __init__(self, sock: socket.socket, manners: PeerManners) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock, self._manners = sock, manners
+        self._queue: deque[bytes] = deque()
+        self._waiting, self._filled = 0, asyncio.Event()
+        self._buffer = Buffer(4096, wire.LONGEST + wire.LENGTH.size)
+        self.lost = 0
+        self.unanswered = 0  # frames sent since anything came
+
+    def put(self, frame: wire.AnyFrame) -> bool:
+        """False where the queue is full: the frame is lost."""
+        data = wire.encode(frame)
+        if len(self._queue) >= QUEUE or self._waiting + len(data) > QUEUE_BYTES:
+            self.lost += 1
+            return False
+        self._queue.append(data)
+        self._waiting += len(data)
+        self._filled.set()
+        return True
+
+    async def write(self) -> None:
+        """Until the peer is too slow (TimeoutError) or the connection breaks (OSError)."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._filled.wait()
+            self._filled.clear()
+            while self._queue:
+                data = b"".join(self._queue)
+                self._queue.clear()
+                self._waiting = 0
+                self.unanswered += 1
+                async with asyncio.timeout(self._manners.patience / US):
+                    await loop.sock_sendall(self._sock, data)
+
+    async def read(self) -> wire.AnyFrame | None:
+        """The next frame, or None at the end. Raises BrokenPeer, OSError."""
+        loop = asyncio.get_running_loop()
+        while (found := wire.take(self._buffer.data())) is None:
+            try:
+                count = await loop.sock_recv_into(self._sock, self._buffer.space())
+            except BufferFull as error:
+                raise wire.BrokenPeer(str(error)) from error
+            if not count:
+                return None
+            self._buffer.filled(count)
+        frame, used = found
+        self._buffer.use(used)
+        self.unanswered = 0
+        return frame
+
+    async def greeted(self) -> wire.Greeting:
+        """Raises BrokenPeer, TimeoutError, OSError."""
+        async with asyncio.timeout(self._manners.patience / US):
+            first = await self.read()
+        if not isinstance(first, wire.Greeting):
+            raise wire.BrokenPeer("the first frame is no greeting")
+        if first.version != wire.VERSION:
+            raise wire.BrokenPeer(f"{first.name} speaks version {first.version}, here it is {wire.VERSION}")
+        if first.group != self._manners.group:
+            raise wire.BrokenPeer(
+                f"{first.name} is of group '{first.group}', here it is '{self._manners.group}'"
+            )
+        return first
+
+    def greet(self) -> None:
+        self.put(wire.Greeting(wire.VERSION, self._manners.group, self._manners.name))
+
+    def close(self) -> None:
+        self._sock.close()
+
+
+async def _either(*works: asyncio.Task[None]) -> None:
+    """Until one ends; the others are ended. Raises what it raised."""
+    try:
+        done, _ = await asyncio.wait(works, return_when=asyncio.FIRST_COMPLETED)
+        for task in done:
+            task.result()
+    finally:
+        for task in works:
+            task.cancel()
+        await asyncio.gather(*works, return_exceptions=True)
+
+
+ENDS = (OSError, TimeoutError, wire.BrokenPeer)
+
+
+class PeerServer:
+    """Takes connections of other gateways and hands on what they tell."""
+
+    def __init__(
+        self, address: Endpoint, manners: PeerManners, handle: Handler, supervisor: Supervisor
+    ) -> None:
+        self._address, self._manners, self._handle = address, manners, handle
+        self._supervisor, self._listener = supervisor, socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.callers: dict[str, int] = {}
+        self._open = 0
+
+    def start(self) -> None:
+        """Raises OSError where the address can't be had."""
+        try:
+            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._listener.setblocking(False)
+            self._listener.bind(self._address)
+            self._listener.listen(self._manners.callers)
+        except OSError:
+            self._listener.close()
+            raise
+        self._supervisor.keep("peers", self._accept)
+
+    async def _accept(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            sock, _ = await loop.sock_accept(self._listener)
+            if self._open >= self._manners.callers:
+                self._supervisor.counters.add("peers without room")
+                sock.close()
+                continue
+            self._open += 1
+            self._supervisor.start("peer", self._serve(sock))
+
+    async def _serve(self, sock: socket.socket) -> None:
+        name = ""
+        line = Line(sock, self._manners)
+        try:
+            greeting = await line.greeted()
+            name = greeting.name
+            self.callers[name] = self.callers.get(name, 0) + 1
+            line.greet()
+            start = asyncio.get_running_loop().create_task
+            await _either(start(line.write()), start(self._read(line, name)))
+        except ENDS as error:
+            self._supervisor.counters.add("peers that broke off")
+            if isinstance(error, wire.BrokenPeer):
+                self._supervisor.log.say("peers", f"{name or 'a stranger'}: {error}", peer=name)
+        finally:
+            self._open -= 1
+            if name:
+                self.callers[name] -= 1
+                if not self.callers[name]:
+                    del self.callers[name]
+            line.close()
+
+    async def _read(self, line: Line, name: str) -> None:
+        def answer(frame: wire.AnyFrame) -> None:
+            line.put(frame)
+
+        while (frame := await line.read()) is not None:
+            if isinstance(frame, wire.Ping):
+                line.put(wire.Pong())
+            else:
+                self._handle(frame, name, answer)
+
+    def stop(self) -> None:
+        self._listener.close()
+
+
+class PeerLink:
+    """The way to one other gateway: connected at the first frame, again and again after breaks, and let go
+    when nothing was told for `idle` microseconds."""
+
+    def __init__(
+        self,
+        name: str,
+        address: Endpoint,
+        manners: PeerManners,
+        idle: int,
+        handle: Handler,
+        supervisor: Supervisor,
+    ) -> None:
+        self.name, self._address, self._manners, self._idle = name, address, manners, idle
+        self._handle, self._supervisor = handle, supervisor
+        self._wanted = asyncio.Event()
+        self._line: Line | None = None
+        self._first: deque[wire.AnyFrame] = deque(maxlen=16)  # told before the connection is there
+        self.tries = 0
+        self.connected, self.why = False, "nothing was to be told yet"
+
+    def start(self) -> None:
+        self._supervisor.keep(f"link to {self.name}", self._run)
+
+    def put(self, frame: wire.AnyFrame) -> None:
+        if self._line is not None:
+            if not self._line.put(frame):
+                self._supervisor.counters.add("frames to peers lost")
+        else:
+            self._first.append(frame)
+        self._wanted.set()
+
+    async def _run(self) -> None:
+        while True:
+            await self._wanted.wait()
+            try:
+                await self._connect_and_serve()
+                self.why = "closed"
+            except ENDS as error:
+                self.why = str(error) or type(error).__name__
+                if isinstance(error, wire.BrokenPeer):
+                    self._supervisor.log.say("peers", f"{self.name}: {error}", peer=self.name)
+            finally:
+                self.connected, self._line = False, None
+            self.tries += 1
+            await asyncio.sleep(self._pause())
+
+    def _pause(self) -> float:
+        """Doubled from try to try, spread: a fleet does not come back all at once."""
+        lot = zlib.crc32(f"{self._manners.name}/{self.name}/{self.tries}".encode()) / 2**32
+        longest: float = min(BACK_OFF[1], BACK_OFF[0] * 2 ** min(self.tries, 10))
+        return longest * (0.5 + lot / 2)
+
+    async def _connect_and_serve(self) -> None:
+        loop, patience = asyncio.get_running_loop(), self._manners.patience / US
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            async with asyncio.timeout(patience):
+                await loop.sock_connect(sock, self._address)
+        except BaseException:
+            sock.close()
+            raise
+        line = Line(sock, self._manners)
+        try:
+            line.greet()
+            while self._first:
+                line.put(self._first.popleft())
+            self._line = line
+            writes = loop.create_task(line.write())
+            await _either(writes, loop.create_task(self._read(line)), loop.create_task(self._watch(line)))
+        finally:
+            self._line = None
+            line.close()
+
+    async def _read(self, line: Line) -> None:
+        greeting = await line.greeted()
+        if greeting.name != self.name:
+            raise wire.BrokenPeer(f"'{greeting.name}' answers where '{self.name}' should be")
+        self.connected, self.tries, self.why = True, 0, ""
+        while (frame := await line.read()) is not None:
+            if not isinstance(frame, wire.Pong):
+                self._handle(frame, self.name, self.put)
+
+    async def _watch(self, line: Line) -> None:
+        """Half-open lines are found by what stays unanswered, idle ones are let go."""
+        idle, asked, pause = 0.0, 0, self._manners.patience / US / 3
+        while True:
+            self._wanted.clear()
+            await asyncio.sleep(pause)
+            if self._wanted.is_set():
+                idle = 0.0
+            elif (idle := idle + pause) >= self._idle / US:
+                return
+            if not line.unanswered:
+                asked = 0
+                continue
+            asked += 1
+            if asked > 3:
+                raise TimeoutError(f"nothing has come for {self._manners.patience} us")
+            line.put(wire.Ping())
+
+    @property
+    def standing(self) -> str:
+        return "connected" if self.connected else f"not connected: {self.why}"
--- a/lotusstream/operator/cells.py
+++ b/lotusstream/operator/cells.py
@@ -27,6 +27,7 @@
     zones: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
     engines: tuple[Engine, ...] = ()
+    gateway: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/operator/file.py
+++ b/lotusstream/operator/file.py
@@ -9,6 +9,7 @@
 from lotusstream.levels.condition import Compare
 from lotusstream.levels.ladder import FULL_SERVICE, Ladder, Level, Start, Unsound, unsound, unsound_for
 from lotusstream.operator.cells import CellsText, Surroundings, cells_of, unfit_cells
+from lotusstream.operator.fleet import FleetText, fleet_of, unfit_fleet
 from lotusstream.operator.problems import Problem, UnusableOperatorFile
 from lotusstream.operator.tree import Node, TreeReader
 from lotusstream.operator.units import write_time
@@ -49,6 +50,7 @@
     ladder: Ladder | None
     cells: CellsText | None
     root: Node
+    fleet: FleetText | None = None
 
     def unfit_for(self, around: Surroundings) -> list[Problem]:
         """What does not go with the gateway's configuration."""
@@ -59,6 +61,8 @@
             ]
         if self.cells is not None and (block := self.root.one("cells")) is not None:
             found += unfit_cells(self.path, block, self.cells, around)
+        if self.fleet is not None and (block := self.root.one("fleet")) is not None and around.gateway:
+            found += unfit_fleet(self.path, block, self.fleet, around.gateway)
         return found
 
 
@@ -100,6 +104,11 @@
     if block is not None and not any(_within(block, problem, text) for problem in problems):
         cells, wrong = cells_of(path, block)
         problems += wrong
+    fleet = None
+    block = root.one("fleet")
+    if block is not None and not any(_within(block, problem, text) for problem in problems):
+        fleet, wrong = fleet_of(path, block)
+        problems += wrong
     if (node := root.one("control")) is None:
         for keyword in ("control-request", "control-patience", "control-clients"):
             if (alone := root.one(keyword)) is not None:
@@ -123,7 +132,7 @@
         log = LogStyle(
             node.values["console or json"], node.values.get("debug, info, warning or error", "info")
         )
-    found = OperatorFile(path, control, log, ladder, cells, root)
+    found = OperatorFile(path, control, log, ladder, cells, root, fleet)
     if around is not None and (unfit := found.unfit_for(around)):
         raise UnusableOperatorFile(unfit)
     return found
@@ -204,6 +213,8 @@
         now.cells and new.cells and now.cells.log != new.cells.log
     ):
         found.append("cells (from none, to none, or their log)")
+    if now.fleet != new.fleet:
+        found.append("fleet (keepers, leases and tasks)")
     if (now.ladder is None) != (new.ladder is None):
         found.append("ladder (from none, or to none)")
     elif now.ladder and new.ladder and now.ladder.window != new.ladder.window:
--- a/lotusstream/operator/vocabulary.py
+++ b/lotusstream/operator/vocabulary.py
@@ -4,6 +4,7 @@
 
 from lotusstream.interface import Further
 from lotusstream.operator.cells import CELLS
+from lotusstream.operator.fleet import FLEET
 from lotusstream.operator.tree import Argument, Directive, choice, name, number, path, share, size, time
 
 
@@ -97,5 +98,6 @@
         ),
     ),
     Directive("cells", "cells of engines, and which tenants live there", block=CELLS),
+    Directive("fleet", "leases among the gateways of a fleet, and their keepers", block=FLEET),
     Directive("ladder", "levels of reduced service", block=LADDER),
 )
--- a/lotusstream/protocol/control.py
+++ b/lotusstream/protocol/control.py
@@ -66,6 +66,30 @@
     tenant: str
 
 
+class Peers(Request, tag="peers"):
+    pass
+
+
+class Quorum(Request, tag="quorum"):
+    pass
+
+
+class ChangeKeeper(Request, tag="keeper"):
+    name: str
+    add: bool
+
+
+class Leases(Request, tag="leases"):
+    pass
+
+
+class GiveUpLease(Request, tag="give-up"):
+    """`heir`: who gets it next, or whoever comes first."""
+
+    task: str
+    heir: str = ""
+
+
 Asking = (
     Status
     | Levels
@@ -77,6 +101,11 @@
     | Cells
     | MoveCell
     | AbortMove
+    | Peers
+    | Quorum
+    | ChangeKeeper
+    | Leases
+    | GiveUpLease
 )
 
 _REQUESTS: msgspec.json.Decoder[Asking] = msgspec.json.Decoder(Asking)
--- /dev/null
+++ b/lotusstream/protocol/peers.py
@@ -0,0 +1,103 @@
+"""What gateways tell each other: a length of four bytes, big-endian, then msgpack. Bytes only.
+
+The first frame each way is a Greeting. A caller opens the connection; what it asked is answered on it.
+"""
+
+from __future__ import annotations
+
+import struct
+from typing import Any
+
+import msgspec
+
+from lotusstream.leases.table import AnyWish, Granted
+from lotusstream.quorum.messages import Envelope
+
+LENGTH = struct.Struct("!I")
+VERSION = 1
+LONGEST = 2 << 20  # a record of the log is at most 1 MB
+
+
+class BrokenPeer(Exception):
+    """What came is no frame of ours; the connection can't be read on."""
+
+
+class Frame(msgspec.Struct, frozen=True, array_like=True, tag_field="is"):
+    pass
+
+
+class Greeting(Frame, frozen=True, tag="greeting"):
+    """`group`: a told name that keeps strangers out by mistake; it is no secret."""
+
+    version: int
+    group: str
+    name: str
+
+
+class Ping(Frame, frozen=True, tag="ping"):
+    pass
+
+
+class Pong(Frame, frozen=True, tag="pong"):
+    pass
+
+
+class Quorum(Frame, frozen=True, tag="quorum"):
+    envelope: Envelope
+
+
+class Ask(Frame, frozen=True, tag="ask"):
+    number: int
+    wish: AnyWish
+
+
+class Look(Frame, frozen=True, tag="look"):
+    """The table of leases, and the keepers, as they are after all that was told before."""
+
+    number: int
+
+
+class Alter(Frame, frozen=True, tag="alter"):
+    number: int
+    name: str
+    add: bool
+
+
+class Told(Frame, frozen=True, tag="told"):
+    """`granted` None: not known, or not asked for. `leader`: whom to ask. `view`: of a Look."""
+
+    number: int
+    done: bool
+    granted: Granted | None
+    leader: str
+    why: str
+    view: dict[str, Any] | None = None
+
+
+AnyFrame = Greeting | Ping | Pong | Quorum | Ask | Look | Alter | Told
+
+_FRAMES: msgspec.msgpack.Decoder[AnyFrame] = msgspec.msgpack.Decoder(AnyFrame)
+
+
+def encode(frame: AnyFrame) -> bytes:
+    """Raises ValueError where it would be too long."""
+    payload = msgspec.msgpack.encode(frame)
+    if len(payload) > LONGEST:
+        raise ValueError(f"a frame of {len(payload)} bytes; {LONGEST} at most")
+    return LENGTH.pack(len(payload)) + payload
+
+
+def take(data: memoryview) -> tuple[AnyFrame, int] | None:
+    """The first frame and how many bytes it took, or None if it is not whole yet. Raises BrokenPeer."""
+    if len(data) < LENGTH.size:
+        return None
+    (length,) = LENGTH.unpack_from(data)
+    if not 0 < length <= LONGEST:
+        raise BrokenPeer(f"a frame of {length} bytes; {LONGEST} at most")
+    end = LENGTH.size + length
+    if len(data) < end:
+        return None
+    try:
+        return _FRAMES.decode(data[LENGTH.size : end]), end
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise BrokenPeer(f"no frame: {error}") from error
--- a/lotusstream/record/log.py
+++ b/lotusstream/record/log.py
@@ -168,18 +168,20 @@
             hint = "start the version that wrote it, or a later one"
             raise NewerLog(self._path, f"format {version}, and {VERSION} is the newest known here", hint)
 
-    def append(self, payload: bytes) -> None:
-        """Returns once it is on the disk. Raises DiskTrouble: then it is not in the log, now or later."""
+    def append(self, *payloads: bytes) -> None:
+        """Returns once they are on the disk, by one sync for all. Raises DiskTrouble: then none is in the
+        log, now or later; after a crash in it a beginning of them may be."""
         if self._failed or self._descriptor < 0:
             raise DiskTrouble(self._path, "not open for writing", "open it again")
         before = self.size
         try:
-            self._write(self._descriptor, framed(payload))
+            data = b"".join(map(framed, payloads))
+            self._write(self._descriptor, data)
             self._disk.sync(self._descriptor)
         except OSError as error:
             self._undo(before)
             raise self._trouble(error) from error
-        self.size = before + FRAME.size + len(payload)
+        self.size = before + len(data)
 
     def _undo(self, whole: int) -> None:
         """What was written in part is taken back; where that fails too, nothing more is written behind it."""
