Hard cases of leases on real processes, schedules of faults, and lotusstream fleet run

Found by them: the task 'moves' without cells failed the module (KeyError Drives in policy.py's reactions): check tells it now.

--- a/lotusstream/cli/__init__.py
+++ b/lotusstream/cli/__init__.py
@@ -177,13 +177,14 @@
     command.add_argument("statement")
     command.set_defaults(act=group)
     commands.add_parser("ctl", help="ask a running gateway, or change it by hand", add_help=False)
+    commands.add_parser("fleet", help="start a fleet on this machine, with faults", add_help=False)
     commands.add_parser("version", help="print the version").set_defaults(act=version)
     return made
 
 
 def main(words: list[str] | None = None) -> int:
     words = sys.argv[1:] if words is None else words
-    if words[:1] == ["ctl"] or "_LOTUSSTREAM_COMPLETE" in os.environ:
+    if words[:1] in (["ctl"], ["fleet"]) or "_LOTUSSTREAM_COMPLETE" in os.environ:
         from lotusstream.cli.ctl import run
 
         return run(words)
--- a/lotusstream/cli/ctl.py
+++ b/lotusstream/cli/ctl.py
@@ -295,7 +295,10 @@
 
 def run(words: list[str]) -> int:
     """As a program: the status to end with."""
-    import lotusstream.cli.ctl_fleet  # noqa: F401 - its commands join those of ctl
+    import lotusstream.cli.ctl_fleet  # its commands join those of ctl
+
+    if words[:1] == ["fleet"]:
+        import lotusstream.cli.fleet  # noqa: F401
 
     try:
         program.main(words, prog_name="lotusstream", standalone_mode=False)
--- a/lotusstream/lab/fleet/process.py
+++ b/lotusstream/lab/fleet/process.py
@@ -1,8 +1,9 @@
 """One gateway of the rig: the program as it is, with a disk and a clock that can be made to fail, and a task
 whose acts a witness takes down. Started as `python -m lotusstream.lab.fleet.process FOLDER serve ...`.
 
-The folder holds `clock`, 16 bytes (rate, microseconds ahead), and `disk`, one word: ok, full, failing, or a
-number of milliseconds for every sync.
+The folder holds `clock`, 16 bytes (rate, microseconds ahead), and `disk`, one word: ok, full, failing, a
+number of milliseconds for every sync, or crash-N: killed at the N-th call from then on. Where there is a file
+`between`, the process stops itself (SIGSTOP) once between its look at the lease and its act.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import errno
 import mmap
 import os
+import signal
 import socket
 import struct
 import sys
@@ -44,6 +46,13 @@
 
     def __init__(self, told: Path) -> None:
         self._told = told
+        self._calls = 0
+
+    def _crash(self, word: str) -> None:
+        if word.startswith("crash-"):
+            self._calls += 1
+            if self._calls >= int(word.removeprefix("crash-")):
+                os.kill(os.getpid(), signal.SIGKILL)
 
     def _word(self) -> str:
         try:
@@ -52,8 +61,9 @@
             return OK
 
     def write(self, descriptor: int, data: bytes) -> int:
-        if self._word() == FULL:
+        if (word := self._word()) == FULL:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        self._crash(word)
         return super().write(descriptor, data)
 
     def sync(self, descriptor: int) -> None:
@@ -62,7 +72,9 @@
             raise OSError(errno.EIO, os.strerror(errno.EIO))
         if word.isdigit():
             time.sleep(int(word) / 1000)
+        self._crash(word)
         super().sync(descriptor)
+        self._crash(word)
 
 
 class LabClock:
@@ -87,8 +99,8 @@
 class WitnessTask:
     """Acts again and again while it may, and tells a witness over UDP."""
 
-    def __init__(self, around: tasks.Around) -> None:
-        self._around = around
+    def __init__(self, around: tasks.Around, between: Path) -> None:
+        self._around, self._between = around, between
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         host, _, port = os.environ["LOTUSSTREAM_WITNESS"].rpartition(":")
         self._sock.connect((host, int(port)))
@@ -107,6 +119,9 @@
         while True:
             looked = time.monotonic_ns()
             token = self._around.may_act()
+            if token and self._between.exists():
+                self._between.unlink()
+                os.kill(os.getpid(), signal.SIGSTOP)
             if token:
                 act = Act(WITNESS, token, self._around.name, looked, time.monotonic_ns())
                 try:
@@ -119,7 +134,7 @@
 def main() -> int:
     folder = Path(sys.argv[1])
     directives.TASKS[WITNESS] = "acts that the rig's witness takes down"
-    tasks.MAKERS[WITNESS] = WitnessTask
+    tasks.MAKERS[WITNESS] = lambda around: WitnessTask(around, folder / "between")
     bent = LabClock(folder / "clock")
     clock.boot_clock = bent
     keeper.make_disk = lambda: LabDisk(folder / "disk")
--- a/lotusstream/lab/fleet/relay.py
+++ b/lotusstream/lab/fleet/relay.py
@@ -12,8 +12,8 @@
 @dataclass(slots=True)
 class Manner:
     """`cut`: connections are refused and closed. `stalled`: taken and nothing passes (half-open). `deaf`:
-    nothing passes back, `mute`: nothing passes on. `delay` in seconds. `reset_after`: bytes until a reset in
-    the midst of a frame; 0 for none."""
+    nothing passes back, `mute`: nothing passes on. `delay` in seconds. `reset_after`: bytes of a
+    connection until it is reset, in the midst of a frame; 0 for none."""
 
     cut: bool = False
     stalled: bool = False
@@ -80,16 +80,19 @@
     async def _pass(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, onward: bool
     ) -> None:
+        left = self.manner.reset_after
         with contextlib.suppress(OSError):
             while data := await reader.read(CHUNK):
                 while self.manner.stalled or (self.manner.mute if onward else self.manner.deaf):
                     await self._changed.wait()
                 if self.manner.delay:
                     await asyncio.sleep(self.manner.delay)
-                if 0 < self.manner.reset_after < len(data):
-                    writer.write(data[: self.manner.reset_after])
+                if self.manner.reset_after:
+                    writer.write(data[:left])
                     await writer.drain()
-                    return
+                    if (left := left - len(data)) <= 0:
+                        return
+                    continue
                 writer.write(data)
                 self.passed += len(data)
                 await writer.drain()
--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -133,7 +133,8 @@
         if self.keeper:
             lines.append(f'  store "{self.store}"')
         lines += [f"  {line}" for line in rig.directives]
-        lines += [f"  tasks {' '.join(rig.tasks)}" if rig.tasks else "", "end", *rig.more, ""]
+        lines += [f"  tasks {' '.join(rig.tasks)}" if rig.tasks else "", "end"]
+        lines += [line.replace("{folder}", str(self.folder)) for line in (*rig.more, "")]
         (self.folder / "config.json").write_text(json.dumps(configuration))
         (self.folder / "operator.conf").write_text("\n".join(lines))
         return [
@@ -262,11 +263,12 @@
             told = json.loads(line)
         except ValueError:
             return
-        if told.get("event") == "quorum" and told.get("role") == "leader":
+        if told.get("event") == "quorum leader":
             self.leader = name
             self._leads.set()
-        if told.get("event") in ("quorum", "lease", "failed"):
-            self.say(f"{name}: {told['event']}: {told.get('text', '')}")
+        event = str(told.get("event"))
+        if event.startswith("quorum") or event in ("keepers", "lease", "moves", "failed"):
+            self.say(f"{name}: {event.partition(' ')[0]}: {told.get('text', '')}")
 
     async def __aenter__(self) -> FleetRig:
         self.folder = Path(tempfile.mkdtemp(prefix="lotusstream-rig-"))
--- a/lotusstream/net/keeper.py
+++ b/lotusstream/net/keeper.py
@@ -215,10 +215,10 @@
                 case ev.Became(role, term, leader, why):
                     self.supervisor.counters.add(f"quorum became {role}")
                     text = f"{role} in term {term}" + (f", {leader} leads" if leader else "") + f": {why}"
-                    log.say("quorum", text, "info", role=role, term=term, leader=leader, why=why)
+                    log.say(f"quorum {role}", text, "info", role=role, term=term, leader=leader, why=why)
                 case ev.NewMembers(index, members):
                     names = [f"{each.name}{'' if each.voter else ' (learner)'}" for each in members]
-                    log.say("quorum", f"keepers are {', '.join(names)}", "info", index=index, keepers=names)
+                    log.say("keepers", f"keepers are {', '.join(names)}", "info", index=index, keepers=names)
                 case Passed(_, granted):
                     who = f"{granted.holder}, token {granted.token}" if granted.token else "nobody"
                     log.say(
--- a/lotusstream/operator/file.py
+++ b/lotusstream/operator/file.py
@@ -9,7 +9,7 @@
 from lotusstream.levels.condition import Compare
 from lotusstream.levels.ladder import FULL_SERVICE, Ladder, Level, Start, Unsound, unsound, unsound_for
 from lotusstream.operator.cells import CellsText, Surroundings, cells_of, unfit_cells
-from lotusstream.operator.fleet import FleetText, fleet_of, unfit_fleet
+from lotusstream.operator.fleet import MOVES, FleetText, fleet_of, unfit_fleet
 from lotusstream.operator.problems import Problem, UnusableOperatorFile
 from lotusstream.operator.tree import Node, TreeReader
 from lotusstream.operator.units import write_time
@@ -109,6 +109,9 @@
     if block is not None and not any(_within(block, problem, text) for problem in problems):
         fleet, wrong = fleet_of(path, block)
         problems += wrong
+        if MOVES in fleet.tasks and cells is None and (node := block.one("tasks")) is not None:
+            what = f"the task '{MOVES}' without cells: there is nothing to move"
+            problems.append(Problem(path, node.line, node.column, what, "add cells, or leave it out"))
     if (node := root.one("control")) is None:
         for keyword in ("control-request", "control-patience", "control-clients"):
             if (alone := root.one(keyword)) is not None:
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -263,3 +263,40 @@
     values = {("load", None): Value(2.0, 5), ("late", None): None}
     assert truth(Either((late, load)), values) is True and truth(Both((late, load)), values) is None
     assert truth(Both((late, load.opposite())), values) is False
+
+
+FLEET = """fleet
+  group perth
+  keeper k1 10.0.0.1:7100
+  keeper k2 10.0.0.2:7100
+  keeper k3 10.0.0.3:7100
+  {}
+end
+"""
+
+
+@pytest.mark.parametrize(
+    ("line", "told"),
+    [
+        ("lease 1s", "a lease of 1s is shorter than two elections and a renewal; 2s or more would do"),
+        ("margin 10ms", "a margin of 10ms: two clocks that drift may differ by more; 393ms to 5s would do"),
+        ("margin 8s", "a margin of 8s leaves less than half of the lease to act in; 393ms to 5s would do"),
+        ("election 200ms", "an election after 200ms, with a heartbeat of 100ms; 300ms or more: one lost word is no lost leader"),
+        ("keeper k4 10.0.0.1:7100", "two keepers at 10.0.0.1:7100; give each its own address"),
+        ("keeper k4 10.0.0.4", "found '10.0.0.4'; host:port would do, as in 10.0.0.4:7100"),
+        ("tasks movse", "found 'movse'; did you mean 'moves'?"),
+        ("tasks moves", "the task 'moves' without cells: there is nothing to move; add cells, or leave it out"),
+        ("drift 40%", "no clock of use drifts that much; 2% would do"),
+    ],
+)
+def test_a_fleet_that_could_not_work_is_told_with_its_line(line, told):
+    with pytest.raises(UnusableOperatorFile) as caught:
+        read_operator_file(FLEET.format(line), "fleet.conf")
+    assert told in [f"{each.what}; {each.hint}" for each in caught.value.problems]
+
+
+def test_a_keeper_without_a_store_is_told():
+    around = Surroundings({}, gateway="k2")
+    with pytest.raises(UnusableOperatorFile, match=r"'k2' is a keeper and has no store; name a folder: store PATH"):
+        read_operator_file(FLEET.format(""), "fleet.conf", around)
+    assert read_operator_file(FLEET.format(""), "fleet.conf", Surroundings({}, gateway="g9")).fleet
