--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,16 +8,17 @@
 import sys
 import time
 
-SUBJECTS = ("cells", "levels")
+SUBJECTS = ("cells", "leases", "levels")
 
 
 def main() -> int:
     parser = argparse.ArgumentParser(prog="python -m benchmarks", description=__doc__)
     parser.add_argument("name", choices=SUBJECTS)
     parser.add_argument("--json", action="store_true", help="one JSON object as the last line")
-    arguments = parser.parse_args()
+    arguments, rest = parser.parse_known_args()  # what is left is the subject's own
     began = time.monotonic()
-    lines, told = importlib.import_module(f"benchmarks.{arguments.name}").measure()
+    measure = importlib.import_module(f"benchmarks.{arguments.name}").measure
+    lines, told = measure(rest) if rest else measure()
     print("\n".join(lines))
     for name, value in told.items():
         print(f"{name}: {value:.3f}" if isinstance(value, float) else f"{name}: {value}")
--- a/lotusstream/lab/fleet/askers.py
+++ b/lotusstream/lab/fleet/askers.py
@@ -6,6 +6,7 @@
 import uuid
 
 from lotusstream.leases import holder as hold
+from lotusstream.leases.desk import FREED
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.net import clock
 from lotusstream.net.actor import Supervisor
@@ -59,7 +60,9 @@
         self._timer = asyncio.get_running_loop().call_later(pause / US, self.tell, hold.Tick())
 
     def _told(self, frame: wire.AnyFrame, _sender: str, _answer: Answer) -> None:
-        if isinstance(frame, wire.Told):
+        if isinstance(frame, wire.Told) and frame.number == FREED:
+            self.tell(hold.Freed(self.task))
+        elif isinstance(frame, wire.Told):
             self.answers += 1
             self.tell(hold.Answered(frame.number, frame.granted, frame.leader))
 
--- a/lotusstream/lab/virtual.py
+++ b/lotusstream/lab/virtual.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from lotusstream.leases import holder as hold
-from lotusstream.leases.desk import Asked, LeaseDesk, LookedUp, Passed, Reply
+from lotusstream.leases.desk import FREED, Asked, LeaseDesk, LookedUp, Passed, Reply
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.leases.table import Granted
 from lotusstream.quorum import events as ev
@@ -270,7 +270,9 @@
                     self.judge.read(node.name, caller, node.desk.table.newest if node.desk else 0)
             case Reply(caller, number, granted, leader):
                 holder = self.holders[str(caller)]
-                event = hold.Answered(number, granted, leader)
+                event: hold.Event = hold.Answered(number, granted, leader)
+                if number == FREED and granted is not None:
+                    event = hold.Freed(granted.task)
                 self._deliver(node, holder, lambda: self._tell_holder(holder, event))
             case Passed(index, granted):
                 self.judge.passed(node.name, index, granted)
--- a/lotusstream/leases/desk.py
+++ b/lotusstream/leases/desk.py
@@ -12,6 +12,8 @@
 from lotusstream.quorum.messages import Kind
 
 LATE = -1  # the ticket of what nobody waits for
+WAITERS = 1024  # who is told that a task is free, at most; whoever is not asks again by itself
+FREED = 0  # the number of a Reply that nobody asked for
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,7 @@
         self._granter = Granter(terms)
         self._tickets: dict[int, tuple[object, int]] = {}
         self._ticket = 0
+        self._waiters: dict[str, list[object]] = {}
 
     @property
     def next_at(self) -> int:
@@ -79,7 +82,7 @@
         out: list[Outward] = []
         match event:
             case Asked(caller, number, wish):
-                if (reply := self._at_once(event)) is not None:
+                if (reply := self._at_once(now, event)) is not None:
                     return [reply]
                 found: ev.Event = ev.Propose(self._take(caller, number), encode_wish(wish))
             case LookedUp(caller, number):
@@ -109,14 +112,19 @@
         self._tickets[self._ticket] = (caller, number)
         return self._ticket
 
-    def _at_once(self, asked: Asked) -> Reply | None:
+    def _at_once(self, now: int, asked: Asked) -> Reply | None:
         """'Held' needs no entry in the log: at worst it is late news, and the wish comes again."""
         if self.keeper.role != LEADER or not isinstance(asked.wish, Acquire):
             return None
         lease = self.table.leases.get(asked.wish.task)
         if lease is None or not lease.token or lease.holder == asked.wish.holder:
             return None
-        granted = Granted(False, lease.task, lease.holder, lease.token, "held")
+        left = self._granter.left(now, lease.task)
+        granted = Granted(False, lease.task, lease.holder, lease.token, "held", left=left)
+        waiters = self._waiters.setdefault(lease.task, [])
+        if asked.caller not in waiters:
+            waiters.append(asked.caller)
+            del waiters[:-WAITERS]
         return Reply(asked.caller, asked.number, granted, self.keeper.name)
 
     def _act(self, now: int, action: ev.Action, out: list[Outward]) -> list[ev.Action]:
@@ -127,6 +135,9 @@
                     granted = self.table.apply(data)
                     if before.get(granted.task, 0) != granted.token:
                         out.append(Passed(index, granted))
+                    if not granted.token:
+                        for caller in self._waiters.pop(granted.task, ()):
+                            out.append(Reply(caller, FREED, granted, self.keeper.name))
                     self._reply(ticket, out, granted, done=True)
             case ev.Restore(_, state):
                 self.table = LeaseTable.load(state)
--- a/lotusstream/leases/granter.py
+++ b/lotusstream/leases/granter.py
@@ -37,6 +37,11 @@
         self._terms, self._seen = terms, dict[str, _Seen]()
         self._term = -1
 
+    def left(self, now: int, task: str) -> int:
+        """Until a grant runs out, if no renewal comes; 0 where that is not known."""
+        seen = self._seen.get(task)
+        return max(0, seen.since + self._terms.length - now) if seen is not None else 0
+
     def due(self, now: int, term: int, table: LeaseTable) -> list[Expire]:
         """What to propose now. `term`: of this leadership."""
         if term != self._term:
--- a/lotusstream/leases/holder.py
+++ b/lotusstream/leases/holder.py
@@ -36,12 +36,19 @@
     leader: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Freed:
+    """A keeper says that nobody holds it now."""
+
+    task: str
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     pass
 
 
-Event = Want | Unwant | Answered | Tick
+Event = Want | Unwant | Answered | Freed | Tick
 
 # Actions
 
@@ -106,6 +113,10 @@
                 self._unwant(task, heir)
             case Answered():
                 self._answered(event)
+            case Freed(task):
+                waiting = self._tasks.get(task)
+                if waiting is not None and not waiting.token:
+                    waiting.ask_at = self._now
         for name, each in self._tasks.items():
             self._drive(name, each)
         return self._out
@@ -178,7 +189,9 @@
         elif not granted.done or granted.holder != self._name:
             if found.token:
                 self._stop(task, found, granted.why or "another holder has it")
-            found.ask_at = self._now + self._draw(again, 2 * again)
+            # whoever is told that it is free asks at once; this is for those who are not
+            least = granted.left or again
+            found.ask_at = self._now + least + self._draw(0, again // 4 if granted.left else again)
         elif found.wanted:
             found.until = asked + self._terms.length - self._terms.margin
             if found.token and found.token != granted.token:
--- a/lotusstream/leases/table.py
+++ b/lotusstream/leases/table.py
@@ -80,7 +80,8 @@
 
 
 class Granted(msgspec.Struct, frozen=True):
-    """Whether the wish was carried out, and how the lease stands after it. `fresh`: nobody had it before."""
+    """Whether the wish was carried out, and how the lease stands after it. `fresh`: nobody had it before.
+    `left`: microseconds until it is free at the soonest, as the leader counts; 0 where that is not known."""
 
     done: bool
     task: str
@@ -88,6 +89,7 @@
     token: int
     why: str = ""
     fresh: bool = False
+    left: int = 0
 
 
 class _Dump(msgspec.Struct, array_like=True):
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from lotusstream.leases import holder as hold
-from lotusstream.leases.desk import Asked, Changed, LookedUp
+from lotusstream.leases.desk import FREED, Asked, Changed, LookedUp
 from lotusstream.leases.table import TakeBack
 from lotusstream.net import clock
 from lotusstream.net.actor import Actor, Supervisor
@@ -163,6 +163,8 @@
         if (waiting := self._asked.pop(told.number, None)) is not None:
             if not waiting.done():
                 waiting.set_result(told)
+        elif told.number == FREED and told.granted is not None:
+            self.holder.post(hold.Freed(told.granted.task))
         else:
             self.holder.post(hold.Answered(told.number, told.granted, told.leader))
 
