Parts beside the module in one shape, named in one place; stores close only between two writes

Seen by reading: a task that is ended leaves its thread at work, so a store could be closed under a write and another file get its descriptor; a lock stands between them.

--- a/lotusstream/lab/fleet/process.py
+++ b/lotusstream/lab/fleet/process.py
@@ -12,6 +12,7 @@
 import errno
 import mmap
 import os
+import runpy
 import signal
 import socket
 import struct
@@ -131,17 +132,16 @@
             await asyncio.sleep(EVERY)
 
 
-def main() -> int:
+def main() -> None:
     folder = Path(sys.argv[1])
     directives.TASKS[WITNESS] = "acts that the rig's witness takes down"
     tasks.MAKERS[WITNESS] = lambda around: WitnessTask(around, folder / "between")
     bent = LabClock(folder / "clock")
     clock.boot_clock = bent
     keeper.make_disk = lambda: LabDisk(folder / "disk")
-    from lotusstream.cli import main as program
-
-    return program(sys.argv[2:])
+    sys.argv = ["lotusstream", *sys.argv[2:]]
+    runpy.run_module("lotusstream", run_name="__main__")
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -125,7 +125,7 @@
             link.start()
         self.holder.start()
 
-    async def leave(self) -> None:
+    def leave(self) -> None:
         """A planned stop: leases are released and leadership is handed over, as far as that goes at once."""
         for task in self.holder.tasks:
             self.holder.post(hold.Unwant(task))
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -15,23 +15,17 @@
 from lotusstream import interface as api
 from lotusstream.deployment import Deployment, UnusableSettings, read_settings
 from lotusstream.net.actor import Supervisor
-from lotusstream.net.client import ClientConnection, ClientShare, TenantOf, Unread
+from lotusstream.net.client import ClientConnection, ClientShare, Unread
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
-from lotusstream.net.decider import Decider, Module, Tell
+from lotusstream.net.decider import Decider
 from lotusstream.net.engine_list import EngineList, Follow
 from lotusstream.protocol import notices
 
 if TYPE_CHECKING:
-    from lotusstream.cells.keeper import CellKeeper
-    from lotusstream.levels.keeper import LevelKeeper
-    from lotusstream.net.control import ControlServer
-    from lotusstream.net.fleet import Fleet
-    from lotusstream.net.moves import MoveWriter
-    from lotusstream.net.operated import Operated
+    from lotusstream.net.parts import Parts
     from lotusstream.operator.file import OperatorFile
 
-BesideModule = Callable[[Module], Module]
 MS = 1000
 STAY = 700 * MS  # after a planned stop is told: what comes that late is not this gateway's any more
 COME_ON = 600 * MS  # and until then commands still come
@@ -90,110 +84,26 @@
         most, memory, deployment = configuration.descriptors, configuration.memory, configuration.deployment
         self._spare = most // 32  # for connections that have just come or are about to close
         most_clients = most // 3 + self._spare
-        control = operator.control.clients + 2 if operator and operator.control else 0
-        fleet = operator.fleet.descriptors(configuration.name) if operator and operator.fleet else 0
-        left = most - most_clients - self._spare - OWN - control - fleet
-        if fleet and left < most // 8:
-            raise UnusableConfiguration(f"fleet: {fleet} of {most} descriptors for peers; lower 'peers-most'")
-        self._budget = SocketBudget(left)
+        self._parts = self._parts_of(operator)
+        taken = self._parts.descriptors if self._parts else 0
+        self._budget = SocketBudget(most - most_clients - self._spare - OWN - taken)
         self._share = ClientShare(most_clients, self._clock, self.supervisor)
         self._unread = Unread(memory // 8)
-        if operator is not None and operator.log is not None:  # before anything has something to say
-            from lotusstream.observe.log import structured
-
-            writer = structured(operator.log.form, operator.log.threshold, configuration.name)
-            self.supervisor.log.use(writer)
-        self._writer: MoveWriter | None = None
-        self._cells = self._cell_keeper(operator)
-        keeper, beside = self._keeper(operator)
+        beside = self._parts.beside if self._parts else None
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor, beside)
         self._list = EngineList(deployment, self._clock, self._decider.post, self.supervisor)
         self._listener: socket.socket | None = None
-        self._operated, self._control = self._operate(operator, keeper)
-        self._tenants = self._tenant_of()
-        self._fleet = self._fleet_of(operator)
-
-    def _keeper(self, operator: OperatorFile | None) -> tuple[LevelKeeper | None, BesideModule | None]:
-        if operator is None or operator.ladder is None:
-            return None, self._in_cells if self._cells else None
-        from lotusstream.levels.keeper import Beside, LevelKeeper
-
-        deployment = self._configuration.deployment
-        keeper = LevelKeeper(operator.ladder, deployment.started, deployment.profiles)
-        return keeper, lambda module: Beside(self._in_cells(module).handle, keeper)
-
-    def _cell_keeper(self, operator: OperatorFile | None) -> CellKeeper | None:
-        """With the moves that its log holds. A disk that can't be used stops moves, a log that can't be
-        trusted the start."""
-        if operator is None or operator.cells is None:
-            return None
-        from lotusstream.cells.keeper import CellKeeper
-        from lotusstream.cells.move import Move, terms
-        from lotusstream.net.moves import MoveWriter, read_moves
-        from lotusstream.record.log import DiskTrouble, Log, LogTrouble
-
-        cells, deployment = operator.cells, self._configuration.deployment
-        profiles, log, why, moves = deployment.started.profiles, None, "the cells have no log", list[Move]()
-        if cells.log is not None:
-            try:
-                log = Log(cells.log).open()
-                moves = read_moves(log, cells.log, self._clock.now())
-            except DiskTrouble as error:
-                log, why = None, str(error)
-                self.supervisor.log.say("moves", f"none can be made: {why}", "error")
-            except LogTrouble as error:
-                raise UnusableConfiguration(f"cells: {error}") from error
-        self._writer = MoveWriter(log, why, lambda event: self._decider.post(Tell(event)), self.supervisor)
-        plan = cells.plan(deployment.zones, deployment.kinds)
-        return CellKeeper(plan, terms(profiles, cells.hold, cells.drain), profiles, moves, cells.poison)
-
-    def _in_cells(self, module: Module) -> Module:
-        if self._cells is None or self._writer is None:
-            return module
-        from lotusstream.cells.keeper import InCells
-
-        log = self.supervisor.log
-        return InCells(module.handle, self._cells, self._writer.post, lambda why: log.say("moves", why))
-
-    def _tenant_of(self) -> TenantOf | None:
-        if self._cells is None:
-            return None
-        from lotusstream.cells.who import tenant_of
-        from lotusstream.protocol.tables import schema_name
-
-        cells = self._cells
-        return lambda fields, mark, statement: tenant_of(
-            cells.plan.sources, fields, mark, lambda: schema_name(statement)
-        )
+        self._tenants = self._parts.tenants if self._parts else None
+        if self._parts is not None:
+            self._parts.tie(self._decider)
 
-    def _operate(
-        self, operator: OperatorFile | None, keeper: LevelKeeper | None
-    ) -> tuple[Operated | None, ControlServer | None]:
+    def _parts_of(self, operator: OperatorFile | None) -> Parts | None:
         """What the operator file asks for; imported only then."""
         if operator is None:
-            return None, None
-        from lotusstream.net.operated import Operated, control_server
-        from lotusstream.observe.own import OwnUseReader
-
-        given = self._configuration
-        own = OwnUseReader(given.cores, given.memory, given.descriptors)
-        operated = Operated(
-            operator, given, keeper, self._cells, self._decider, own, self._clock, self.supervisor
-        )
-        return operated, control_server(operator, operated, self.supervisor)
-
-    def _fleet_of(self, operator: OperatorFile | None) -> Fleet | None:
-        if operator is None or operator.fleet is None or self._operated is None:
             return None
-        from lotusstream.net.fleet import Fleet
-        from lotusstream.record.log import LogTrouble
+        from lotusstream.net.parts import Parts
 
-        name, seed = self._configuration.name, self._configuration.deployment.started.seed
-        try:
-            self._operated.fleet = Fleet(operator.fleet, name, seed, self._decider, self.supervisor)
-        except LogTrouble as error:
-            raise UnusableConfiguration(f"fleet: {error}") from error
-        return self._operated.fleet
+        return Parts(operator, self._configuration, self._clock, self.supervisor)
 
     @property
     def address(self) -> Endpoint:
@@ -212,18 +122,12 @@
             listener.close()
             raise UnusableConfiguration(f"listen: {error}") from error
         self._listener = listener
-        if self._control is not None:
-            try:
-                self._control.start()
-            except Exception as error:
-                listener.close()
-                raise UnusableConfiguration(f"control: {error}") from error
-        if self._fleet is not None:
+        if self._parts is not None:
             try:
-                self._fleet.start()
-            except OSError as error:
+                self._parts.start()
+            except UnusableConfiguration:
                 listener.close()
-                raise UnusableConfiguration(f"fleet: peers can't be taken: {error}") from error
+                raise
         self._announce()
         self._decider.start()
         self._list.start()
@@ -231,10 +135,6 @@
         self._list.post(Follow(self._configuration.board))
         self._resume_accept(listener)
         self.supervisor.keep("watch", self._watch)
-        if self._writer is not None:
-            self._writer.start()
-        if self._operated is not None and self._operated.ticks:
-            self.supervisor.keep("levels", self._operated.feed)
 
     def _announce(self) -> None:
         address = f"{self.address[0]}:{self.address[1]}"
@@ -244,29 +144,8 @@
             print(f"listening on {address}", file=sys.stderr, flush=True)
 
     def reload_operator(self, read: Callable[[], OperatorFile]) -> None:
-        """Takes another operator file while running, or nothing of one that can't be used or changes what
-        can't change. `read` raises UnusableOperatorFile."""
-        if self._operated is None:
-            return
-        from lotusstream.operator.file import fixed_differences
-        from lotusstream.operator.problems import UnusableOperatorFile
-
-        counters, log = self.supervisor.counters, self.supervisor.log
-        try:
-            new = read()
-            if fixed := fixed_differences(self._operated.file, new):
-                raise UnusableOperatorFile.alone(new.path, f"can't change while running: {', '.join(fixed)}")
-        except UnusableOperatorFile as error:  # what was in force stays
-            counters.add("operator files refused")
-            log.say("operator", f"not taken: {'; '.join(map(str, error.problems))}", "error")
-            return
-        counters.add("operator files read again")
-        if new.log is not None and new.log != self._operated.file.log:
-            from lotusstream.observe.log import structured
-
-            log.use(structured(new.log.form, new.log.threshold, self._configuration.name))
-        self._operated.reload(new)
-        log.say("operator", f"{new.path} was read again", "info")
+        if self._parts is not None:
+            self._parts.reload(read)
 
     def reload(self, new: Configuration) -> None:
         """Takes another configuration while running, or nothing of one that changes more than the board.
@@ -336,8 +215,8 @@
     async def drain(self) -> None:
         """A planned stop: takes what still comes, and returns once all is read and answered or time is up."""
         self._share.stopping = True
-        if self._fleet is not None:
-            await self._fleet.leave()
+        if self._parts is not None:
+            self._parts.leave()
         began = self._clock.now()
         longest = max(profile.client_timeout for profile in self._configuration.deployment.started.profiles)
         by = began + min(longest, LONGEST_WAIT) + COME_ON
@@ -360,13 +239,11 @@
         print("\n".join([*self.supervisor.counters.lines(), "counters end"]), file=sys.stderr, flush=True)
 
     async def stop(self) -> None:
-        if self._control is not None:
-            self._control.stop()
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
-        if self._fleet is not None:
-            await self._fleet.stop()
+        if self._parts is not None:
+            await self._parts.stop()
         await self.supervisor.stop()
-        if self._writer is not None:
-            self._writer.close()
+        if self._parts is not None:
+            self._parts.close()
--- a/lotusstream/net/keeper.py
+++ b/lotusstream/net/keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import threading
 import uuid
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
@@ -83,6 +84,7 @@
     ) -> None:
         super().__init__("quorum store", supervisor)
         self._log, self._told, self._failed = log, told, False
+        self._writing = threading.Lock()  # a task that is ended leaves its thread at work
 
     async def receive(self, message: ev.Save) -> None:
         if self._failed:
@@ -102,14 +104,20 @@
     def _write(self, saves: list[ev.Save]) -> None:
         whole = max((at for at, save in enumerate(saves) if save.rewrite), default=None)
         payloads = [msgspec.msgpack.encode(record) for save in saves[whole or 0 :] for record in save.records]
-        if whole is not None:
-            self._log.rewrite(payloads)
-        else:
-            self._log.append(*payloads)
+        with self._writing:
+            if whole is not None:
+                self._log.rewrite(payloads)
+            else:
+                self._log.append(*payloads)
 
     async def stop(self) -> None:
         await super().stop()
-        self._log.close()
+        await asyncio.to_thread(self._close)
+
+    def _close(self) -> None:
+        """Not under a write: its descriptor might be another file's by then."""
+        with self._writing:
+            self._log.close()
 
 
 KeeperMessage = ev.Event | Asked | LookedUp | Changed | _DiskFailed | _Open
@@ -272,9 +280,6 @@
             "terms": asdict(self._terms.leases),
         }
 
-    async def leave(self) -> None:
-        self.post(ev.Leave())
-
     async def stop(self) -> None:
         await super().stop()
         if self._timer is not None:
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -42,17 +42,17 @@
         given: Configuration,
         keeper: LevelKeeper | None,
         cells: CellKeeper | None,
+        fleet: Fleet | None,
         decider: Decider,
         own: OwnUseReader,
         clock: Clock,
         supervisor: Supervisor,
     ) -> None:
         self.file, self._given, self._name, self._decider = file, given, given.name, decider
-        self._keeper, self._cells = keeper, cells
+        self._keeper, self._cells, self.fleet = keeper, cells, fleet
         self._own, self._clock, self._supervisor = own, clock, supervisor
         self._started = clock.now()
         self._logged = 0
-        self.fleet: Fleet | None = None
         self._used: tuple[float, OwnUse] | None = None
 
     @property
--- /dev/null
+++ b/lotusstream/net/parts.py
@@ -0,0 +1,298 @@
+"""What an operator file turns on beside the decision module: each part in one shape, all named in one place,
+each imported only where the file asks for it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lotusstream.net.actor import Supervisor
+from lotusstream.net.client import TenantOf
+from lotusstream.net.clock import Clock
+from lotusstream.net.decider import Decider, Module, Tell
+from lotusstream.net.gateway import Configuration, UnusableConfiguration
+from lotusstream.operator.file import OperatorFile, fixed_differences
+from lotusstream.operator.problems import UnusableOperatorFile
+
+if TYPE_CHECKING:
+    from lotusstream.cells.keeper import CellKeeper
+    from lotusstream.cells.move import Move
+    from lotusstream.levels.keeper import LevelKeeper
+    from lotusstream.net.control import ControlServer
+    from lotusstream.net.fleet import Fleet
+    from lotusstream.net.operated import Operated
+
+
+@dataclass(frozen=True, slots=True)
+class Around:
+    """What every part may use."""
+
+    file: OperatorFile
+    given: Configuration
+    clock: Clock
+    supervisor: Supervisor
+
+
+class Part:
+    """What it sees and adds: events of commands by `beside`, in front of the module; all else as events
+    posted to the decider that `tie` gives. No part calls another but those told by name when it is made."""
+
+    descriptors = 0  # at most, of the gateway's
+
+    def __init__(self, around: Around) -> None:
+        self.around = around
+
+    def beside(self, module: Module) -> Module:
+        return module
+
+    def tie(self, decider: Decider) -> None: ...
+
+    def start(self) -> None:
+        """Raises UnusableConfiguration: then the gateway does not start."""
+
+    def leave(self) -> None:
+        """A planned stop begins."""
+
+    async def stop(self) -> None: ...
+
+    def close(self) -> None:
+        """Once all tasks have ended."""
+
+
+class CellsPart(Part):
+    """Confinement, and moves with the log that they rest on. A disk that can't be used stops moves, a log
+    that can't be trusted the start."""
+
+    def __init__(self, around: Around) -> None:
+        super().__init__(around)
+        from lotusstream.cells.keeper import CellKeeper
+        from lotusstream.cells.move import terms
+        from lotusstream.net.moves import MoveWriter
+        from lotusstream.record.log import LogTrouble
+
+        cells, deployment = around.file.cells, around.given.deployment
+        assert cells is not None
+        try:
+            log, why, moves = self._log(cells.log)
+        except LogTrouble as error:
+            raise UnusableConfiguration(f"cells: {error}") from error
+        profiles = deployment.started.profiles
+        self._decider: Decider | None = None
+        self.writer = MoveWriter(log, why, self._tell, around.supervisor)
+        plan = cells.plan(deployment.zones, deployment.kinds)
+        move_terms = terms(profiles, cells.hold, cells.drain)
+        self.keeper: CellKeeper = CellKeeper(plan, move_terms, profiles, moves, cells.poison)
+
+    def _log(self, path: str | None):  # type: ignore[no-untyped-def]
+        from lotusstream.net.moves import read_moves
+        from lotusstream.record.log import DiskTrouble, Log
+
+        moves: list[Move] = []
+        if path is None:
+            return None, "the cells have no log", moves
+        try:
+            log = Log(path).open()
+            return log, "", read_moves(log, path, self.around.clock.now())
+        except DiskTrouble as error:
+            self.around.supervisor.log.say("moves", f"none can be made: {error}", "error")
+            return None, str(error), moves
+
+    def _tell(self, event: object) -> None:
+        assert self._decider is not None
+        self._decider.post(Tell(event))
+
+    def beside(self, module: Module) -> Module:
+        from lotusstream.cells.keeper import InCells
+
+        log = self.around.supervisor.log
+        return InCells(module.handle, self.keeper, self.writer.post, lambda why: log.say("moves", why))
+
+    @property
+    def tenants(self) -> TenantOf:
+        from lotusstream.cells.who import tenant_of
+        from lotusstream.protocol.tables import schema_name
+
+        cells = self.keeper
+        return lambda fields, mark, statement: tenant_of(
+            cells.plan.sources, fields, mark, lambda: schema_name(statement)
+        )
+
+    def tie(self, decider: Decider) -> None:
+        self._decider = decider
+
+    def start(self) -> None:
+        self.writer.start()
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+class LevelsPart(Part):
+    """The keeper of levels, in front of all else."""
+
+    def __init__(self, around: Around) -> None:
+        super().__init__(around)
+        from lotusstream.levels.keeper import LevelKeeper
+
+        deployment = around.given.deployment
+        assert around.file.ladder is not None
+        self.keeper: LevelKeeper = LevelKeeper(around.file.ladder, deployment.started, deployment.profiles)
+
+    def beside(self, module: Module) -> Module:
+        from lotusstream.levels.keeper import Beside
+
+        return Beside(module.handle, self.keeper)
+
+
+class FleetPart(Part):
+    """Leases, their tasks, and the quorum where this gateway keeps it."""
+
+    def __init__(self, around: Around) -> None:
+        super().__init__(around)
+        assert around.file.fleet is not None
+        self.descriptors = around.file.fleet.descriptors(around.given.name)
+        self.fleet: Fleet | None = None
+
+    def tie(self, decider: Decider) -> None:
+        from lotusstream.net.fleet import Fleet
+        from lotusstream.record.log import LogTrouble
+
+        given, told = self.around.given, self.around.file.fleet
+        assert told is not None
+        try:
+            seed = given.deployment.started.seed
+            self.fleet = Fleet(told, given.name, seed, decider, self.around.supervisor)
+        except LogTrouble as error:
+            raise UnusableConfiguration(f"fleet: {error}") from error
+
+    def start(self) -> None:
+        assert self.fleet is not None
+        try:
+            self.fleet.start()
+        except OSError as error:
+            raise UnusableConfiguration(f"fleet: peers can't be taken: {error}") from error
+
+    def leave(self) -> None:
+        if self.fleet is not None:
+            self.fleet.leave()
+
+    async def stop(self) -> None:
+        if self.fleet is not None:
+            await self.fleet.stop()
+
+
+class ControlPart(Part):
+    """Feeds the keepers of the other parts, and answers on the control socket about all of them."""
+
+    def __init__(
+        self, around: Around, cells: CellsPart | None, levels: LevelsPart | None, fleet: FleetPart | None
+    ) -> None:
+        super().__init__(around)
+        self._cells, self._levels, self._fleet = cells, levels, fleet
+        self.operated: Operated | None = None
+        self._server: ControlServer | None = None
+        socket = around.file.control
+        self.descriptors = socket.clients + 2 if socket else 0
+
+    def tie(self, decider: Decider) -> None:
+        from lotusstream.net.operated import Operated, control_server
+        from lotusstream.observe.own import OwnUseReader
+
+        file, given, supervisor = self.around.file, self.around.given, self.around.supervisor
+        own = OwnUseReader(given.cores, given.memory, given.descriptors)
+        levels = self._levels.keeper if self._levels else None
+        cells = self._cells.keeper if self._cells else None
+        fleet = self._fleet.fleet if self._fleet else None
+        clock = self.around.clock
+        self.operated = Operated(file, given, levels, cells, fleet, decider, own, clock, supervisor)
+        self._server = control_server(file, self.operated, supervisor)
+
+    def start(self) -> None:
+        assert self.operated is not None
+        if self._server is not None:
+            try:
+                self._server.start()
+            except Exception as error:
+                raise UnusableConfiguration(f"control: {error}") from error
+        if self.operated.ticks:
+            self.around.supervisor.keep("levels", self.operated.feed)
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.stop()
+
+
+class Parts:
+    """All that a file asks for, in the order in which it stands in front of the module: nearest first."""
+
+    def __init__(
+        self, file: OperatorFile, given: Configuration, clock: Clock, supervisor: Supervisor
+    ) -> None:
+        """Raises UnusableConfiguration."""
+        self._supervisor, self._name = supervisor, given.name
+        if file.log is not None:  # before anything has something to say
+            from lotusstream.observe.log import structured
+
+            supervisor.log.use(structured(file.log.form, file.log.threshold, given.name))
+        around = Around(file, given, clock, supervisor)
+        self.cells = CellsPart(around) if file.cells is not None else None
+        self.levels = LevelsPart(around) if file.ladder is not None else None
+        self.fleet = FleetPart(around) if file.fleet is not None else None
+        self.control = ControlPart(around, self.cells, self.levels, self.fleet)
+        self._all = [each for each in (self.cells, self.levels, self.fleet, self.control) if each is not None]
+        self.descriptors = sum(each.descriptors for each in self._all)
+        if self.fleet is not None and self.descriptors > given.descriptors // 2:
+            what = f"{self.descriptors} of {given.descriptors} descriptors for peers and control"
+            raise UnusableConfiguration(f"fleet: {what}; lower 'peers-most'")
+
+    @property
+    def tenants(self) -> TenantOf | None:
+        return self.cells.tenants if self.cells else None
+
+    def beside(self, module: Module) -> Module:
+        for part in self._all:
+            module = part.beside(module)
+        return module
+
+    def tie(self, decider: Decider) -> None:
+        for part in self._all:
+            part.tie(decider)
+
+    def start(self) -> None:
+        for part in self._all:
+            part.start()
+
+    def leave(self) -> None:
+        for part in self._all:
+            part.leave()
+
+    async def stop(self) -> None:
+        for part in reversed(self._all):
+            await part.stop()
+
+    def close(self) -> None:
+        for part in self._all:
+            part.close()
+
+    def reload(self, read: Callable[[], OperatorFile]) -> None:
+        """Takes another operator file while running, or nothing of one that can't be used or changes what
+        can't change. `read` raises UnusableOperatorFile."""
+        operated = self.control.operated
+        assert operated is not None
+        counters, log = self._supervisor.counters, self._supervisor.log
+        try:
+            new = read()
+            if fixed := fixed_differences(operated.file, new):
+                raise UnusableOperatorFile.alone(new.path, f"can't change while running: {', '.join(fixed)}")
+        except UnusableOperatorFile as error:  # what was in force stays
+            counters.add("operator files refused")
+            log.say("operator", f"not taken: {'; '.join(map(str, error.problems))}", "error")
+            return
+        counters.add("operator files read again")
+        if new.log is not None and new.log != operated.file.log:
+            from lotusstream.observe.log import structured
+
+            log.use(structured(new.log.form, new.log.threshold, self._name))
+        operated.reload(new)
+        log.say("operator", f"{new.path} was read again", "info")
