Plan versions are agreed on: notes under the newest token, and no moves under another plan

Change: a note on the quorum's log is put by the holder of a task under its newest token and only goes up; who drives moves first brings number and digest of its plan, and begins none where another of the same or a higher number is agreed on.

--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -202,9 +202,17 @@
     if agreed is None:
         rows.append(("quorum", f"none: {told['why']}"))
         return _pairs(rows)
+    for key, note in agreed["notes"].items():
+        mine = told["brings"].get(key)
+        here = "" if mine is None else ", as here" if _same(mine, note) else ", another than here"
+        rows.append((f"agreed {key}", f"version {note['version']} of {note['author']}{here}"))
     return Group(_pairs(rows), "", table)
 
 
+def _same(mine: Mapping[str, Any], note: Mapping[str, Any]) -> bool:
+    return bool(mine["version"] == note["version"] and mine["value"] == note["value"])
+
+
 def look(told: Mapping[str, Any]) -> RenderableType:
     parts: list[RenderableType] = [status(told["status"]), ""]
     if "levels" in told:
--- a/lotusstream/leases/table.py
+++ b/lotusstream/leases/table.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+NOTES, LONGEST_NOTE = 64, 4096
 CALLERS = (
     512  # whose newest number is kept for each task; older ones may be carried out twice, and harm no one
 )
@@ -56,7 +57,17 @@
     heir: str = ""
 
 
-AnyWish = Acquire | Release | Expire | TakeBack
+class Put(Wish, frozen=True, tag="put"):
+    """A note that all agree on, by whoever holds `task` under `token`: a newer version, or the same again."""
+
+    task: str
+    token: int
+    key: str
+    version: int
+    value: str
+
+
+AnyWish = Acquire | Release | Expire | TakeBack | Put
 
 _WISHES: msgspec.msgpack.Decoder[AnyWish] = msgspec.msgpack.Decoder(AnyWish)
 
@@ -79,6 +90,15 @@
     granted: int = 0  # how many times anybody got it
 
 
+class Note(msgspec.Struct, frozen=True):
+    """`token`, `author`: under which it was agreed on, and who held that."""
+
+    version: int
+    value: str
+    token: int
+    author: str
+
+
 class Granted(msgspec.Struct, frozen=True):
     """Whether the wish was carried out, and how the lease stands after it. `fresh`: nobody had it before.
     `left`: microseconds until it is free at the soonest, as the leader counts; 0 where that is not known."""
@@ -96,6 +116,7 @@
     next_token: int
     leases: list[Lease]
     callers: dict[str, list[tuple[str, str, int]]]
+    notes: dict[str, Note] = {}
 
 
 _DUMPS: msgspec.msgpack.Decoder[_Dump] = msgspec.msgpack.Decoder(_Dump)
@@ -107,6 +128,7 @@
     def __init__(self) -> None:
         self._next = 1
         self.leases: dict[str, Lease] = {}
+        self.notes: dict[str, Note] = {}
         self._callers: dict[str, dict[str, tuple[str, int]]] = {}
 
     @property
@@ -136,6 +158,22 @@
                     return self._told(lease, False, "another holder has it")
                 lease.ending, lease.heir = True, heir
                 return self._told(lease, True)
+            case Put():
+                return self._put(lease, wish)
+
+    def _put(self, lease: Lease, wish: Put) -> Granted:
+        if not lease.token or lease.token != wish.token:
+            return self._told(lease, False, f"token {wish.token} of '{wish.task}' is not the newest")
+        note = self.notes.get(wish.key)
+        if note is not None and (note.version, note.value) == (wish.version, wish.value):
+            return self._told(lease, True)
+        if note is not None and note.version >= wish.version:
+            why = f"version {note.version} of the {wish.key} of {note.author} is agreed on, and differs"
+            return self._told(lease, False, why)
+        if note is None and len(self.notes) >= NOTES:
+            return self._told(lease, False, f"{NOTES} notes are kept, and no more")
+        self.notes[wish.key] = Note(wish.version, wish.value[:LONGEST_NOTE], wish.token, lease.holder)
+        return self._told(lease, True)
 
     def _told(self, lease: Lease, done: bool, why: str = "", fresh: bool = False) -> Granted:
         return Granted(done, lease.task, lease.holder, lease.token, why, fresh)
@@ -186,7 +224,7 @@
         callers = {
             task: [(holder, *told) for holder, told in table.items()] for task, table in self._callers.items()
         }
-        return msgspec.msgpack.encode(_Dump(self._next, list(self.leases.values()), callers))
+        return msgspec.msgpack.encode(_Dump(self._next, list(self.leases.values()), callers, self.notes))
 
     @classmethod
     def load(cls, state: bytes) -> LeaseTable:
@@ -195,6 +233,7 @@
             dump = _DUMPS.decode(state)
             table._next = dump.next_token
             table.leases = {lease.task: lease for lease in dump.leases}
+            table.notes = dump.notes
             table._callers = {
                 task: {holder: (session, number) for holder, session, number in callers}
                 for task, callers in dump.callers.items()
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -9,7 +9,7 @@
 
 from lotusstream.leases import holder as hold
 from lotusstream.leases.desk import FREED, Asked, Changed, LookedUp
-from lotusstream.leases.table import TakeBack
+from lotusstream.leases.table import Put, TakeBack
 from lotusstream.net import clock
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.connection import US
@@ -17,7 +17,7 @@
 from lotusstream.net.decider import Decider
 from lotusstream.net.keeper import KeeperActor, KeeperTerms, open_store
 from lotusstream.net.peers import Answer, PeerLink, PeerManners, PeerServer
-from lotusstream.net.tasks import MAKERS, Around, Task
+from lotusstream.net.tasks import MAKERS, Agree, Around, Task
 from lotusstream.operator.fleet import FleetText
 from lotusstream.protocol import peers as wire
 from lotusstream.quorum import events as ev
@@ -31,8 +31,9 @@
     """Drives the holder on the clock that counts sleep, and the tasks by what it says."""
 
     def __init__(
-        self, name: str, told: FleetText, seed: int, ask: Any, decider: Decider, supervisor: Supervisor
-    ) -> None:
+        self, name: str, told: FleetText, seed: int, ask: Any, agree: Agree, decider: Decider,
+        supervisor: Supervisor,
+    ) -> None:  # fmt: skip
         super().__init__("leases", supervisor)
         names = [each.name for each in told.keepers]
         session = f"{name}-{uuid.uuid4().hex[:12]}"
@@ -40,8 +41,9 @@
         self._ask = ask
         self._timer: asyncio.TimerHandle | None = None
         self.since: dict[str, int] = {}
+        self.token: dict[str, int] = {}
         self.tasks: dict[str, Task] = {
-            task: MAKERS[task](Around(name, self._may_act(task), decider.post, supervisor))
+            task: MAKERS[task](Around(name, self._may_act(task), decider.post, supervisor, agree))
             for task in told.tasks
         }
 
@@ -61,12 +63,13 @@
                 case hold.Ask(number, keeper, wish):
                     self._ask(keeper, number, wish)
                 case hold.Begin(task, token):
-                    self.since[task] = now
+                    self.since[task], self.token[task] = now, token
                     self.supervisor.counters.add("leases got")
                     self._say(task, token, f"held here under token {token}")
                     self.tasks[task].begin(token)
                 case hold.Stop(task, token, why):
                     self.since.pop(task, None)
+                    self.token.pop(task, None)
                     self.supervisor.counters.add("leases ended")
                     self._say(task, token, f"token {token} not held here any more: {why}")
                     self.tasks[task].stop(why)
@@ -75,6 +78,12 @@
         pause = max(1000, self.holder.next_at - clock.boot_clock())
         self._timer = asyncio.get_running_loop().call_later(pause / US, self.post, hold.Tick())
 
+    def anew(self) -> None:
+        """What tasks rest on was read anew."""
+        for task, token in self.token.items():
+            self.tasks[task].stop("its settings were read anew")
+            self.tasks[task].begin(token)
+
     def _say(self, task: str, token: int, text: str) -> None:
         self.supervisor.log.say("lease", f"{task}: {text}", "info", task=task, token=token)
 
@@ -113,7 +122,8 @@
             self.keeper = KeeperActor(terms, store, self._carry, supervisor)
             address = told.listen or (mine.host, mine.port)
             self._server = PeerServer(address, manners, self._heard, supervisor)
-        self.holder = HolderActor(name, told, seed, self._ask, decider, supervisor)
+        self.brings: dict[str, tuple[int, str]] = {}  # by key: version and value that this gateway knows
+        self.holder = HolderActor(name, told, seed, self._ask, self._agree, decider, supervisor)
 
     def start(self) -> None:
         """Raises OSError where peers can't be taken."""
@@ -178,6 +188,21 @@
         elif (link := self.links.get(keeper)) is not None:
             link.put(wire.Ask(number, wish))
 
+    async def _agree(self, key: str, token: int, task: str) -> str:
+        """Why what this gateway brings is not agreed on, or ''."""
+        version, value = self.brings.get(key, (0, ""))
+        wish = Put(task, token, key, version, value)
+        try:
+            told = await self._question(lambda number: wire.Ask(number, wish))
+        except Refused as error:
+            return str(error)
+        return "" if told.granted is not None and told.granted.done else (told.granted or told).why
+
+    def bring(self, key: str, version: int, value: str) -> None:
+        if self.brings.get(key) != (version, value):
+            self.brings[key] = (version, value)
+            self.holder.anew()
+
     # For operators
 
     async def _question(self, make: Any) -> wire.Told:
@@ -243,6 +268,7 @@
         since = {task: now - at for task, at in self.holder.since.items()}
         return {
             "name": self._name,
+            "brings": {key: {"version": told[0], "value": told[1]} for key, told in self.brings.items()},
             "here": holding,
             "held_us": since,
             "agreed": told["agreed"],
--- a/lotusstream/net/keeper.py
+++ b/lotusstream/net/keeper.py
@@ -277,6 +277,10 @@
                 }
                 for lease in self.desk.table.leases.values()
             ],
+            "notes": {
+                key: {name: getattr(note, name) for name in ("version", "value", "token", "author")}
+                for key, note in self.desk.table.notes.items()
+            },
             "terms": asdict(self._terms.leases),
         }
 
--- a/lotusstream/net/parts.py
+++ b/lotusstream/net/parts.py
@@ -163,9 +163,16 @@
         try:
             seed = given.deployment.started.seed
             self.fleet = Fleet(told, given.name, seed, decider, self.around.supervisor)
+            self.anew(self.around.file)
         except LogTrouble as error:
             raise UnusableConfiguration(f"fleet: {error}") from error
 
+    def anew(self, file: OperatorFile) -> None:
+        from lotusstream.net.tasks import PLAN
+
+        if self.fleet is not None and file.cells is not None:
+            self.fleet.bring(PLAN, file.cells.number, file.cells.digest)
+
     def start(self) -> None:
         assert self.fleet is not None
         try:
@@ -295,4 +302,6 @@
 
             log.use(structured(new.log.form, new.log.threshold, self._name))
         operated.reload(new)
+        if self.fleet is not None:
+            self.fleet.anew(new)
         log.say("operator", f"{new.path} was read again", "info")
--- a/lotusstream/net/tasks.py
+++ b/lotusstream/net/tasks.py
@@ -3,7 +3,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -12,6 +13,12 @@
 from lotusstream.net.decider import Tell
 from lotusstream.operator.fleet import MOVES
 
+PLAN = "plan"
+PAUSE = 1.0  # seconds until a plan that was not agreed on is brought again: it may be read anew
+
+
+Agree = Callable[[str, int, str], Awaitable[str]]  # key, token, task: '' once agreed on, or why not
+
 
 class Task(Protocol):
     """`begin` under a token, until `stop`."""
@@ -29,19 +36,31 @@
     may_act: Callable[[], int]
     tell_decider: Callable[[Tell], None]
     supervisor: Supervisor
+    agree: Agree
 
 
 class MovesTask:
-    """Begins moves of tenants: by hand here, or of the poisonous. The keeper of cells turns away what comes
-    under an older token."""
+    """Begins moves of tenants: by hand here, or of the poisonous, once all agree on this gateway's plan. The
+    keeper of cells turns away what comes under an older token."""
 
     def __init__(self, around: Around) -> None:
         self._around = around
+        self._agreeing: asyncio.Task[None] | None = None
 
     def begin(self, token: int) -> None:
-        self._around.tell_decider(Tell(Drives(token)))
+        self._agreeing = self._around.supervisor.start("plan", self._agree(token))
+
+    async def _agree(self, token: int) -> None:
+        while (why := await self._around.agree(PLAN, token, MOVES)) and self._around.may_act() == token:
+            self._around.supervisor.log.say("plan", f"no moves are begun here: {why}", reason=why)
+            await asyncio.sleep(PAUSE)
+        if self._around.may_act() == token:
+            self._around.tell_decider(Tell(Drives(token)))
 
     def stop(self, why: str) -> None:
+        if self._agreeing is not None:
+            self._agreeing.cancel()
+            self._agreeing = None
         self._around.tell_decider(Tell(Drives(0)))
 
 
--- a/lotusstream/operator/cells.py
+++ b/lotusstream/operator/cells.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from hashlib import blake2b
 
 from lotusstream.cells.plan import DRAWN, Cell, Empty, Engines, Plan, Source, TenantSource, unfit
 from lotusstream.cells.poison import PoisonTerms
@@ -55,6 +56,8 @@
     cells: tuple[tuple[Cell, tuple[EnginesText, ...]], ...]
     tenants: NameTrie[str]
     poison: PoisonTerms | None
+    number: int = 0
+    digest: str = ""
 
     def plan(self, zones: Sequence[str], kinds: Sequence[str]) -> Plan:
         """Raises Unfit where a zone or kind is not known."""
@@ -179,6 +182,8 @@
     Directive("poison", "past so much blame a tenant goes to quarantine, for so long at least",
               (Argument("a number", number(1, 10**6)), Argument("a time", time, after="half-life"),
                Argument("another time", time, after="stay"))),
+    Directive("plan", "the number of this plan: a fleet takes none that is older",
+              (Argument("a number", number(0, 2**31)),)),
     Directive("cell", "one cell", (Argument("a name", name),), block=CELL, many=True, required=True),
 )  # fmt: skip
 
@@ -233,9 +238,18 @@
         tuple(cells),
         tenants,
         _poison(block, cells),
+        block.value("plan", "a number", 0),
+        blake2b(_written(block).encode(), digest_size=8).hexdigest(),
     ), problems
 
 
+def _written(node: Node) -> str:
+    """What was read, whatever its lines look like; not where this gateway writes its moves down."""
+    values = sorted((name, repr(value)) for name, value in node.values.items())
+    inside = (_written(each) for each in node.inside if each.directive.keyword != "log")
+    return f"{node.directive.keyword} {values} [{'; '.join(inside)}]"
+
+
 def _poison(block: Node, cells: Sequence[tuple[Cell, object]]) -> PoisonTerms | None:
     node = block.one("poison")
     if node is None:
--- a/tests/leases/test_leases.py
+++ b/tests/leases/test_leases.py
@@ -5,7 +5,7 @@
 from lotusstream.leases import holder as hold
 from lotusstream.leases.granter import Granter, LeaseTerms
 from lotusstream.leases.holder import Holder, TokenGate
-from lotusstream.leases.table import Acquire, Expire, LeaseTable, Release, TakeBack, encode_wish
+from lotusstream.leases.table import Acquire, Expire, LeaseTable, Put, Release, TakeBack, encode_wish
 
 MS, S = 1_000, 1_000_000
 TERMS = LeaseTerms(2 * S, 250 * MS, 0.05)
@@ -138,3 +138,19 @@
     assert gate.admits("moves", 4)
     assert gate.admits("moves", 5)  # another has it by now
     assert not gate.admits("moves", 4)
+
+
+def test_a_note_is_agreed_on_under_the_newest_token_alone_and_never_goes_back(table):
+    def put(token, version, value):
+        return table.apply(encode_wish(Put("moves", token, "plan", version, value)))
+
+    first = acquire(table, "g1", 1).token
+    assert put(first, 3, "a").done
+    assert put(first, 3, "a").done  # its answer was lost
+    assert "version 3" in put(first, 3, "b").why
+    table.apply(encode_wish(Release("moves", "g1", "g1", 2, first)))
+    second = acquire(table, "g2", 1).token
+    assert not put(first, 4, "late").done
+    assert put(second, 4, "c").done
+    assert not put(second, 3, "a").done
+    assert LeaseTable.load(table.dump()).notes["plan"].value == "c"
