--- a/tests/quorum/test_seeds.py
+++ b/tests/quorum/test_seeds.py
@@ -1,11 +1,15 @@
 """Fleets on a virtual clock: what must hold holds under faults, and planted defects are seen."""
 
 from dataclasses import replace
+from unittest import mock
 
 import pytest
 
 from benchmarks.planted_leases import PLANTED, caught
+from lotusstream.lab.exhaustive import Scope as Scope3
+from lotusstream.lab.exhaustive import Search
 from lotusstream.lab.virtual import Scene, play
+from lotusstream.quorum.keeper import Keeper
 
 SPAN = 40
 
@@ -24,3 +28,15 @@
 def test_a_seed_plays_the_same_again():
     first, second = play(11), play(11)
     assert (first.log, first.tokens, first.acts) == (second.log, second.tokens, second.acts)
+
+
+@pytest.mark.parametrize("scope", [Scope3(1, 1, 1, 0), Scope3(1, 1, 0, 1)], ids=["a crash", "a lost line"])
+def test_every_order_of_a_small_scope(scope):
+    found = Search(scope).run()
+    assert found.broken is None
+    assert found.whole
+
+
+def test_the_search_sees_a_quorum_of_half():
+    with mock.patch.object(Keeper, "_majority", lambda self, disks: True):
+        assert Search(Scope3(2, 0, 0, 0)).run().broken
