--- a/benchmarks/leases.py
+++ b/benchmarks/leases.py
@@ -22,7 +22,8 @@
 from lotusstream.lab.fleet.rig import FleetRig
 from lotusstream.lab.fleet.run import play as play_on_processes
 from lotusstream.lab.fleet.schedule import drawn, write
-from lotusstream.lab.virtual import Broken, Scene, play
+from lotusstream.lab.virtual import Scene, play
+from lotusstream.lab.world import Broken
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.leases.table import Acquire, encode_wish
 from lotusstream.net.actor import Supervisor
--- a/benchmarks/planted_leases.py
+++ b/benchmarks/planted_leases.py
@@ -9,7 +9,8 @@
 from unittest import mock
 
 from lotusstream.lab import virtual
-from lotusstream.lab.virtual import Broken, Scene, play
+from lotusstream.lab.virtual import Scene, play
+from lotusstream.lab.world import Broken
 from lotusstream.leases import holder, table
 from lotusstream.leases.granter import Granter, LeaseTerms
 from lotusstream.quorum import events as ev
@@ -82,11 +83,11 @@
         assert node.desk is not None
         keeper = node.desk.keeper
         first = keeper.journal.snapshot
-        self._down(node)
+        self.down(node)
         node.disk = virtual.VirtualDisk()
         founders = ms.Snapshot(0, 0, first.group, first.members)
         node.disk.synced = [ms.Identity(keeper.disk), ms.Whole(founders)]
-        self._return(node, 100_000)
+        self.back(node, 100_000)
 
     trusting = mock.patch("lotusstream.quorum.keeper.older_copy", lambda mine, heard: False)
     stack = contextlib.ExitStack()
--- /dev/null
+++ b/lotusstream/copies/manager.py
@@ -0,0 +1,228 @@
+"""Who holds what: decided by one gateway at a time, under a lease, and agreed in the quorum before it counts.
+
+It gives every holder a lease of its own by answering its beacons, and calls one dead only when that lease has
+run out by its own clock: a home that is cut off has stopped promising by then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from lotusstream.copies.messages import Assigned
+from lotusstream.copies.shards import SHARDS, Holder, Place, placed
+from lotusstream.leases.granter import LeaseTerms
+
+
+@dataclass(frozen=True, slots=True)
+class CopyTerms:
+    """`copies`: disks for each shard, home included; `promise`: on how many of them a promise has to be.
+    `pace`: shards that are copied anew at a time. `shards`: into how many keys are divided."""
+
+    copies: int
+    promise: int
+    leases: LeaseTerms
+    pace: int = 4
+    shards: int = SHARDS
+
+
+@dataclass(frozen=True, slots=True)
+class Beacon:
+    """`joined`: by shard, the epoch and those that its home has filled."""
+
+    holder: Holder
+    session: str
+    joined: Mapping[int, tuple[int, tuple[Place, ...]]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Agreed:
+    """The quorum has taken an assignment; what it replaces is gone."""
+
+    assigned: Assigned
+
+
+@dataclass(frozen=True, slots=True)
+class NotAgreed:
+    """It has not: another manager was quicker, or nothing is known. `now`: what is agreed on instead."""
+
+    shard: int
+    now: Assigned | None
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    pass
+
+
+Event = Beacon | Agreed | NotAgreed | Tick
+
+
+@dataclass(frozen=True, slots=True)
+class Propose:
+    """To the quorum: in place of the epoch before it, or not at all."""
+
+    assigned: Assigned
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """To a beacon: the holder's lease counts from before it sent it."""
+
+    place: Place
+    session: str
+
+
+@dataclass(frozen=True, slots=True)
+class Endangered:
+    """For people: so many shards bear no further loss (`thin`), or have nobody left (`lost`)."""
+
+    thin: int
+    lost: int
+
+
+Action = Propose | Answer | Endangered
+
+
+@dataclass(slots=True)
+class _Seen:
+    holder: Holder
+    session: str
+    at: int
+
+
+class Manager:
+    """`assigned`: as the quorum has it when this manager begins. Whoever may hold a lease from the manager
+    before is waited for."""
+
+    def __init__(self, terms: CopyTerms, assigned: Iterable[Assigned], now: int) -> None:
+        self._terms, self._began = terms, now
+        self.assigned = {each.shard: each for each in assigned}
+        self._seen: dict[Place, _Seen] = {}
+        self._open: dict[int, Assigned] = {}
+        self._told = (0, 0)
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        out: list[Action] = []
+        match event:
+            case Beacon(holder, session, joined):
+                self._seen[holder.place] = _Seen(holder, session, now)
+                out.append(Answer(holder.place, session))
+                self._joined(joined, out)
+            case Agreed(assigned):
+                self._open.pop(assigned.shard, None)
+                self._learn(assigned)
+            case NotAgreed(shard, other):
+                self._open.pop(shard, None)
+                if other is not None:
+                    self._learn(other)
+        self._decide(now, out)
+        return out
+
+    def _learn(self, assigned: Assigned) -> None:
+        known = self.assigned.get(assigned.shard)
+        if known is None or assigned.epoch > known.epoch:
+            self.assigned[assigned.shard] = assigned
+
+    def _alive(self, now: int, place: Place) -> bool | None:
+        """None where it can't be told yet: it may have a lease from the manager before."""
+        seen = self._seen.get(place)
+        if seen is not None:
+            return now - seen.at < self._terms.leases.length
+        return None if now - self._began < self._terms.leases.length else False
+
+    def _propose(self, assigned: Assigned, out: list[Action]) -> None:
+        self._open[assigned.shard] = assigned
+        out.append(Propose(assigned))
+
+    def _joined(self, joined: Mapping[int, tuple[int, tuple[Place, ...]]], out: list[Action]) -> None:
+        """Filled by the home of this very epoch: from now on their disks count, and are waited for."""
+        for shard, (epoch, places) in sorted(joined.items()):
+            known = self.assigned.get(shard)
+            if known is None or known.epoch != epoch or shard in self._open:
+                continue
+            ready = tuple(place for place in known.joining if place in places)
+            if ready:
+                left = tuple(place for place in known.joining if place not in places)
+                backups = (*known.backups, *ready)
+                next_one = Assigned(shard, epoch + 1, known.home, known.session, backups, left)
+                self._propose(next_one, out)
+
+    def _decide(self, now: int, out: list[Action]) -> None:
+        alive = [each.holder for place, each in sorted(self._seen.items()) if self._alive(now, place)]
+        if now - self._began >= self._terms.leases.length:  # all that there are have been heard by then
+            for shard in range(self._terms.shards):
+                if shard not in self.assigned and shard not in self._open:
+                    self._first(shard, alive, out)
+        joining = sum(bool(each.joining and self._alive(now, each.home)) for each in self.assigned.values())
+        for shard, known in sorted(self.assigned.items(), key=lambda each: (len(each[1].backups), each[0])):
+            if shard not in self._open and not self._mend(now, known, out):
+                joining += self._fill_up(known, alive, joining, out)
+        self._danger(now, out)
+
+    def _first(self, shard: int, alive: list[Holder], out: list[Action]) -> None:
+        """Nothing was ever held there: all begin empty, and alike."""
+        found = placed(shard, alive, self._terms.copies)
+        if len(found) >= self._terms.promise:
+            home, *rest = (each.place for each in found)
+            session = self._seen[home].session
+            self._propose(Assigned(shard, 1, home, session, tuple(rest)), out)
+
+    def _mend(self, now: int, known: Assigned, out: list[Action]) -> bool:
+        """Leaves out the dead, and gives the shard another home where its home has died or begun anew.
+        Nothing is changed while nobody that has all is there: any of the silent disks may be the one that
+        comes back. And no fewer stay than a promise needs, silent ones too: they have all that was promised.
+        """
+        states = {place: self._alive(now, place) for place in known.all}
+        home = self._seen.get(known.home)
+        lost_home = states[known.home] is False
+        anew = states[known.home] is True and home is not None and home.session != known.session
+        heirs = [place for place in known.backups if states[place]]
+        if lost_home and not heirs:
+            return False
+        new_home = heirs[0] if heirs and (lost_home or anew) else known.home
+        counted = [new_home, *(each for each in (known.home, *known.backups) if each != new_home)]
+        silent = [place for place in counted[1:] if states[place] is False]
+        for place in sorted(silent, key=self._since):  # the longest gone is the least likely to come back
+            if len(counted) > self._terms.promise:
+                counted.remove(place)
+        del counted[self._terms.copies :]  # a silent one that was kept has come back beside its successor
+        joining = tuple(place for place in known.joining if states[place] is not False)
+        session = self._seen[new_home].session if lost_home or anew else known.session
+        new = Assigned(known.shard, known.epoch + 1, new_home, session, tuple(counted[1:]), joining)
+        if (new.home, new.session, set(new.backups), new.joining) == (
+            known.home, known.session, set(known.backups), known.joining
+        ):  # fmt: skip
+            return False
+        self._propose(new, out)
+        return True
+
+    def _since(self, place: Place) -> tuple[int, Place]:
+        return (self._seen[place].at if place in self._seen else -1, place)
+
+    def _fill_up(self, known: Assigned, alive: list[Holder], joining: int, out: list[Action]) -> int:
+        """The most endangered first, so many at a time."""
+        if joining >= self._terms.pace or known.joining:
+            return 0
+        live = {each.place for each in alive}
+        here = [self._seen[place].holder for place in known.all if place in live]
+        if known.home not in live or len(here) >= self._terms.copies:
+            return 0
+        others = [each for each in alive if each.place not in known.all]
+        new = placed(known.shard, others, self._terms.copies, here)
+        if not new:
+            return 0
+        places = tuple(each.place for each in new)
+        next_one = Assigned(known.shard, known.epoch + 1, known.home, known.session, known.backups, places)
+        self._propose(next_one, out)
+        return 1
+
+    def _danger(self, now: int, out: list[Action]) -> None:
+        thin = lost = 0
+        for each in self.assigned.values():
+            there = sum(self._alive(now, place) is not False for place in (each.home, *each.backups))
+            thin += 0 < there <= 1
+            lost += not there
+        if (thin, lost) != self._told:
+            self._told = (thin, lost)
+            out.append(Endangered(thin, lost))
--- /dev/null
+++ b/lotusstream/copies/messages.py
@@ -0,0 +1,133 @@
+"""What holders tell each other and write down."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+import msgspec
+
+from lotusstream.copies.shards import Place
+
+
+class Held(IntEnum):
+    SENT = 1  # a gateway was to send it: it may have run
+    ANSWERED = 2
+
+
+class Holding(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of one key. `print`: of its statement; `gateway`: who sent it. `until`: microseconds of
+    the Unix clock, from when on it is as if never seen."""
+
+    key: str
+    print: str
+    state: Held
+    gateway: str
+    until: int
+    answer: bytes = b""
+
+
+class Op(msgspec.Struct, frozen=True, array_like=True):
+    """One change of one shard. `epoch`: in which it was made."""
+
+    epoch: int
+    seq: int
+    holding: Holding
+
+
+class Assigned(msgspec.Struct, frozen=True, array_like=True):
+    """Who holds a shard in an epoch, as agreed in the quorum. `session`: the run of the home's program that
+    may act. `joining` get everything and count for nothing yet."""
+
+    shard: int
+    epoch: int
+    home: Place
+    session: str
+    backups: tuple[Place, ...] = ()
+    joining: tuple[Place, ...] = ()
+
+    @property
+    def all(self) -> tuple[Place, ...]:
+        return (self.home, *self.backups, *self.joining)
+
+
+# Written down
+
+
+class Kept(msgspec.Struct, frozen=True, array_like=True, tag_field="is"):
+    pass
+
+
+class KeptOp(Kept, frozen=True, tag="op"):
+    shard: int
+    op: Op
+
+
+class KeptWhole(Kept, frozen=True, tag="whole"):
+    """A shard in place of all that was known of it."""
+
+    shard: int
+    epoch: int
+    seq: int
+    holdings: tuple[Holding, ...]
+
+
+Record = KeptOp | KeptWhole
+
+# Told
+
+
+class Word(msgspec.Struct, frozen=True, array_like=True, tag_field="is"):
+    pass
+
+
+class Begin(Word, frozen=True, tag="begin"):
+    """The home of an epoch asks where a copy stands."""
+
+    assigned: Assigned
+
+
+class Stand(Word, frozen=True, tag="stand"):
+    """The copy's last change. `session`: of this run of the copy."""
+
+    shard: int
+    epoch: int
+    session: str
+    last_epoch: int
+    last_seq: int
+
+
+class Fill(Word, frozen=True, tag="fill"):
+    """Everything, in place of what the copy has; or, with `after`, the changes that follow that one."""
+
+    shard: int
+    epoch: int
+    after: int
+    last_epoch: int
+    last_seq: int
+    holdings: tuple[Holding, ...] = ()
+    ops: tuple[Op, ...] = ()
+
+
+class Copy(Word, frozen=True, tag="copy"):
+    shard: int
+    epoch: int
+    op: Op
+
+
+class Copied(Word, frozen=True, tag="copied"):
+    """On the disk of the copy, up to this change."""
+
+    shard: int
+    epoch: int
+    session: str
+    seq: int
+
+
+class Deposed(Word, frozen=True, tag="deposed"):
+    """There is a later epoch than the one that speaks."""
+
+    shard: int
+    epoch: int
+
+
+AnyWord = Begin | Stand | Fill | Copy | Copied | Deposed
--- /dev/null
+++ b/lotusstream/copies/replica.py
@@ -0,0 +1,466 @@
+"""One holder's side: home of some shards, copy of others. Primary and backups with epochs, as published for
+PacificA (Lin et al. 2008): every disk of an epoch has a change before it is promised, so any of them has all.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from lotusstream.copies import messages as ms
+from lotusstream.copies.manager import CopyTerms
+from lotusstream.copies.messages import Assigned, Held, Holding, Op
+from lotusstream.copies.shards import Place, shard_of
+
+TAIL = 64  # changes that are kept to fill a copy that is a little behind
+AGAIN = 8  # tries in a lease to begin with a copy that does not answer
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    sender: Place
+    word: ms.AnyWord
+
+
+@dataclass(frozen=True, slots=True)
+class Persisted:
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Learnt:
+    """An assignment that the quorum has agreed on."""
+
+    assigned: Assigned
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseFrom:
+    """A beacon was answered; it was sent at this time of this holder's clock."""
+
+    sent: int
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Before the first send: Promised, or Known where the key was seen before. `unix`: the time of day."""
+
+    ticket: int
+    holding: Holding
+    unix: int
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Before the answer: what is answered, for whoever asks again."""
+
+    ticket: int
+    holding: Holding
+    unix: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time has passed; `unix`: the time of day, for what is kept no longer."""
+
+    unix: int = 0
+
+
+Event = Heard | Persisted | Learnt | LeaseFrom | Claim | Finish | Tick
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Save:
+    number: int
+    records: tuple[ms.Record, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Say:
+    to: Place
+    word: ms.AnyWord
+
+
+@dataclass(frozen=True, slots=True)
+class Promised:
+    """On the disks of enough machines."""
+
+    ticket: int
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """The key was seen before."""
+
+    ticket: int
+    holding: Holding
+
+
+@dataclass(frozen=True, slots=True)
+class Unkept:
+    """Nothing was promised; `maybe`: it may still be found later. `home`: whom to ask instead."""
+
+    ticket: int
+    why: str
+    home: str = ""
+    maybe: bool = False
+
+
+Action = Save | Say | Promised | Known | Unkept
+
+
+@dataclass(slots=True)
+class Shard:
+    """`last`: epoch and number of the newest change here."""
+
+    number: int
+    holdings: dict[str, Holding] = field(default_factory=dict)
+    last: tuple[int, int] = (0, 0)
+    tail: deque[Op] = field(default_factory=lambda: deque(maxlen=TAIL))
+    assigned: Assigned | None = None
+    durable: int = 0
+    deposed: bool = False
+    # of a home
+    sessions: dict[Place, str] = field(default_factory=dict)  # of the copies that were filled in this epoch
+    copied: dict[Place, int] = field(default_factory=dict)
+    reported: frozenset[Place] = frozenset()  # joining ones that count as copies from when that was told
+    since: int = 0  # the newest change when this home began: asked for only once all copies have it
+    promised: int = 0
+    waiting: deque[tuple[int, int, int]] = field(default_factory=deque)  # change, ticket, since when
+    open_keys: dict[str, int] = field(default_factory=dict)  # keys whose change is not promised yet
+    begun: int = 0
+
+    def copies(self) -> tuple[Place, ...]:
+        return (*self.assigned.backups, *self.assigned.joining) if self.assigned else ()
+
+    def apply(self, op: Op) -> None:
+        self.last = (op.epoch, op.seq)
+        self.tail.append(op)
+        self.holdings[op.holding.key] = op.holding
+
+    def whole(self, holdings: Iterable[Holding], last: tuple[int, int]) -> None:
+        self.holdings = {each.key: each for each in holdings}
+        self.last, self.durable = last, 0
+        self.tail.clear()
+
+
+def read_back(records: Iterable[ms.Record]) -> dict[int, Shard]:
+    """What a disk holds."""
+    shards: dict[int, Shard] = {}
+    for record in records:
+        shard = shards.setdefault(record.shard, Shard(record.shard))
+        match record:
+            case ms.KeptOp(_, op):
+                shard.apply(op)
+            case ms.KeptWhole(_, epoch, seq, holdings):
+                shard.whole(holdings, (epoch, seq))
+        shard.durable = shard.last[1]
+    return shards
+
+
+class Replicas:
+    """`place`: of this disk; `session`: of this run of the program."""
+
+    def __init__(
+        self, place: Place, session: str, terms: CopyTerms, shards: dict[int, Shard], now: int
+    ) -> None:
+        self.place, self.session, self._terms, self.shards = place, session, terms, shards
+        self._now, self._until = now, 0
+        self._out: list[Action] = []
+        self._number = 0
+        self._pending: list[ms.Record] = []
+        self._rests: deque[tuple[int, list[Action]]] = deque()
+        self._marks: deque[tuple[int, dict[int, int]]] = deque()
+        self._turn: list[Action] = []
+
+    def handle(self, now: int, event: Event) -> list[Action]:
+        self._now, self._out, self._turn = max(now, self._now), [], []
+        match event:
+            case Heard(sender, word):
+                self._heard(sender, word)
+            case Persisted(number):
+                self._persisted(number)
+            case Learnt(assigned):
+                self._learn(assigned)
+            case LeaseFrom(sent):
+                self._until = max(self._until, sent + self._terms.leases.length - self._terms.leases.margin)
+            case Claim(ticket, holding, unix):
+                self._claim(ticket, holding, unix)
+            case Finish(ticket, holding, unix):
+                self._finish(ticket, holding, unix)
+            case Tick(unix):
+                self._forget(unix)
+        for shard in self.shards.values():
+            self._drive(shard)
+        self._flush()
+        return self._out
+
+    @property
+    def leased(self) -> bool:
+        """Whether this holder may promise anything at this moment."""
+        return self._now < self._until
+
+    def joined(self) -> dict[int, tuple[int, tuple[Place, ...]]]:
+        """For the beacon: those that this home has filled, and that have on their disks all that it has."""
+        found = {}
+        for shard in self.shards.values():
+            if (mine := shard.assigned) is None or not self._home(shard):
+                continue
+            ready = tuple(each for each in mine.joining if shard.copied.get(each, -1) >= shard.promised)
+            if (
+                ready
+            ):  # from now on no promise without them: the quorum may count them before that is known here
+                shard.reported |= set(ready)
+                found[shard.number] = (mine.epoch, ready)
+        return found
+
+    def _forget(self, unix: int) -> None:
+        for shard in self.shards.values():
+            if any(each.until <= unix for each in shard.holdings.values()):
+                shard.holdings = {key: each for key, each in shard.holdings.items() if each.until > unix}
+
+    # Writing down and telling
+
+    def _save(self, *records: ms.Record) -> None:
+        self._pending += records
+
+    def _say(self, to: Place, word: ms.AnyWord, *, rests: bool) -> None:
+        (self._turn if rests else self._out).append(Say(to, word))
+
+    def _flush(self) -> None:
+        if self._pending:
+            self._number += 1
+            self._out.append(Save(self._number, tuple(self._pending)))
+            marks = {record.shard: self.shards[record.shard].last[1] for record in self._pending}
+            self._marks.append((self._number, marks))
+            self._rests.append((self._number, self._turn))
+            self._pending = []
+        elif self._turn and self._rests:
+            self._rests[-1][1].extend(self._turn)
+        else:
+            self._out += self._turn
+
+    def _persisted(self, number: int) -> None:
+        while self._marks and self._marks[0][0] <= number:
+            for shard, seq in self._marks.popleft()[1].items():
+                self.shards[shard].durable = seq
+        while self._rests and self._rests[0][0] <= number:
+            self._out += self._rests.popleft()[1]
+
+    # Assignments
+
+    def _shard(self, number: int) -> Shard:
+        return self.shards.setdefault(number, Shard(number))
+
+    def _home(self, shard: Shard) -> bool:
+        """Of this epoch, by this very run of the program: one that begins anew is given another epoch."""
+        mine = shard.assigned
+        if mine is None or shard.deposed:
+            return False
+        return mine.home == self.place and mine.session == self.session
+
+    def _learn(self, assigned: Assigned) -> bool:
+        """False where it is old news."""
+        if self.place not in assigned.all and assigned.shard not in self.shards:
+            return False
+        shard = self._shard(assigned.shard)
+        known = shard.assigned.epoch if shard.assigned else 0
+        if assigned.epoch <= known:
+            return assigned.epoch == known
+        was_home = self._home(shard)
+        shard.assigned, shard.deposed = assigned, False
+        shard.reported &= set(assigned.joining)
+        if not self._home(shard):
+            if was_home or shard.waiting:
+                self._deposed(shard, "another home has been agreed on")
+            shard.sessions, shard.copied, shard.reported = {}, {}, frozenset()
+            return True
+        kept = [each for each in assigned.all if each in shard.sessions] if was_home else []
+        shard.sessions = {each: shard.sessions[each] for each in kept}
+        shard.copied = {each: shard.copied[each] for each in kept}
+        if not was_home:
+            shard.promised, shard.open_keys, shard.since = 0, {}, shard.last[1]
+            shard.waiting.clear()
+        shard.begun = 0
+        return True
+
+    def _deposed(self, shard: Shard, why: str) -> None:
+        """What was not promised is not known to be lost: its change may be on the next home's disk."""
+        for _, ticket, _ in shard.waiting:
+            self._out.append(Unkept(ticket, why, shard.assigned.home.name if shard.assigned else "", True))
+        shard.waiting.clear()
+        shard.open_keys = {}
+
+    # Home
+
+    def _drive(self, shard: Shard) -> None:
+        mine = shard.assigned
+        if mine is None or not self._home(shard):
+            return
+        if self._now >= shard.begun + self._terms.leases.length // AGAIN:
+            shard.begun = self._now
+            for each in (*mine.backups, *mine.joining):
+                self._say(each, ms.Begin(mine), rests=False)
+        while shard.waiting and self._now - shard.waiting[0][2] > self._terms.leases.length:
+            why = "its copies do not answer"
+            self._out.append(Unkept(shard.waiting.popleft()[1], why, "", True))
+        if not self.leased or 1 + len(mine.backups) < self._terms.promise:
+            return
+        marks = [shard.copied.get(each, -1) for each in (*mine.backups, *shard.reported)]
+        ready = min([shard.durable, *marks])
+        if ready > shard.promised:
+            shard.promised = ready
+        while shard.waiting and shard.waiting[0][0] <= shard.promised:
+            self._out.append(Promised(shard.waiting.popleft()[1]))
+        shard.open_keys = {key: seq for key, seq in shard.open_keys.items() if seq > shard.promised}
+
+    def _able(self, ticket: int, key: str) -> Shard | None:
+        shard = self._shard(shard_of(key, self._terms.shards))
+        mine = shard.assigned
+        if mine is None or not self._home(shard):
+            home = mine.home.name if mine and mine.home != self.place else ""
+            self._out.append(Unkept(ticket, "not the home of this key", home))
+        elif not self.leased:
+            self._out.append(Unkept(ticket, "cut off from whoever decides on homes"))
+        elif 1 + len(mine.backups) < self._terms.promise:
+            self._out.append(Unkept(ticket, "too few disks are left for a promise"))
+        elif shard.waiting and self._now - shard.waiting[0][2] > self._terms.leases.length // 4:
+            self._out.append(Unkept(ticket, "its copies do not answer"))
+        elif shard.promised < shard.since or any(each not in shard.copied for each in mine.backups):
+            self._out.append(Unkept(ticket, "a copy is being filled"))
+        else:
+            return shard
+        return None
+
+    def _claim(self, ticket: int, wanted: Holding, unix: int) -> None:
+        if (shard := self._able(ticket, wanted.key)) is None:
+            return
+        known = shard.holdings.get(wanted.key)
+        if known is None or unix >= known.until:
+            self._change(shard, ticket, wanted)
+        elif known == wanted:  # its own claim, whose answer was lost
+            self._again(shard, ticket, wanted.key)
+        elif wanted.key in shard.open_keys:  # whoever asks may not hear of what could still be lost
+            self._out.append(Unkept(ticket, "the same key is being taken at this moment"))
+        else:
+            self._out.append(Known(ticket, known))
+
+    def _finish(self, ticket: int, told: Holding, unix: int) -> None:
+        if (shard := self._able(ticket, told.key)) is None:
+            return
+        known = shard.holdings.get(told.key)
+        if known is None or unix >= known.until or known.state is not Held.ANSWERED:
+            self._change(shard, ticket, told)
+        elif known == told:
+            self._again(shard, ticket, told.key)
+        elif told.key in shard.open_keys:
+            self._out.append(Unkept(ticket, "the same key is being answered at this moment"))
+        else:
+            self._out.append(Known(ticket, known))  # the first answer stands
+
+    def _again(self, shard: Shard, ticket: int, key: str) -> None:
+        """The same once more: promised when the first is."""
+        if (seq := shard.open_keys.get(key)) is None:
+            self._out.append(Promised(ticket))
+        else:
+            shard.waiting.append((seq, ticket, self._now))
+
+    def _change(self, shard: Shard, ticket: int, holding: Holding) -> None:
+        assert shard.assigned is not None
+        op = Op(shard.assigned.epoch, shard.last[1] + 1, holding)
+        shard.apply(op)
+        self._save(ms.KeptOp(shard.number, op))
+        shard.waiting.append((op.seq, ticket, self._now))
+        shard.open_keys[holding.key] = op.seq
+        for each in shard.sessions:
+            self._say(each, ms.Copy(shard.number, op.epoch, op), rests=False)
+
+    def _fill(self, shard: Shard, to: Place, stand: ms.Stand) -> None:
+        mine = shard.assigned
+        assert mine is not None
+        last_epoch, last_seq = stand.last_epoch, stand.last_seq
+        common = (last_epoch, last_seq) == shard.last or any(
+            (op.epoch, op.seq) == (last_epoch, last_seq) for op in shard.tail
+        )
+        ops = tuple(op for op in shard.tail if op.seq > last_seq) if common else ()
+        holdings = () if common else tuple(shard.holdings.values())
+        after = last_seq if common else -1
+        fill = ms.Fill(shard.number, mine.epoch, after, *shard.last, holdings, ops)
+        self._say(to, fill, rests=False)
+        shard.sessions[to] = stand.session
+        shard.copied[to] = -1
+
+    # Copy, and words of all kinds
+
+    def _heard(self, sender: Place, word: ms.AnyWord) -> None:
+        match word:
+            case ms.Begin(assigned):
+                if not self._learn(assigned):
+                    self._answer_old(sender, assigned.shard, assigned.epoch)
+                    return
+                shard = self._shard(assigned.shard)
+                if shard.assigned == assigned and self.place in assigned.all and assigned.home == sender:
+                    stand = ms.Stand(assigned.shard, assigned.epoch, self.session, *shard.last)
+                    self._say(sender, stand, rests=True)
+            case ms.Stand(number, epoch, session, last_epoch, last_seq):
+                shard = self._shard(number)
+                if not self._mine(shard, epoch) or sender not in shard.copies():
+                    return
+                if (last_epoch, last_seq) == shard.last:  # it leaves only once that is on its disk
+                    shard.sessions[sender], shard.copied[sender] = session, last_seq
+                elif shard.sessions.get(sender) != session or shard.copied.get(sender, -1) < shard.last[1]:
+                    self._fill(shard, sender, word)
+            case ms.Fill(number, epoch, after, last_epoch, last_seq, holdings, ops):
+                shard = self._shard(number)
+                if not self._follows(sender, shard, epoch):
+                    return
+                if after < 0:
+                    if shard.last[0] == epoch and last_seq < shard.last[1]:
+                        return  # overtaken by what followed it
+                    shard.whole(holdings, (last_epoch, last_seq))
+                    self._save(ms.KeptWhole(number, last_epoch, last_seq, holdings))
+                elif shard.last[1] != after:
+                    return
+                else:
+                    for op in ops:
+                        shard.apply(op)
+                        self._save(ms.KeptOp(number, op))
+                self._say(sender, ms.Copied(number, epoch, self.session, shard.last[1]), rests=True)
+            case ms.Copy(number, epoch, op):
+                shard = self._shard(number)
+                if not self._follows(sender, shard, epoch):
+                    return
+                if op.seq != shard.last[1] + 1:
+                    return  # one before it was lost, or it came twice: the home begins anew with this copy
+                shard.apply(op)
+                self._save(ms.KeptOp(number, op))
+                self._say(sender, ms.Copied(number, epoch, self.session, op.seq), rests=True)
+            case ms.Copied(number, epoch, session, seq):
+                shard = self._shard(number)
+                if self._mine(shard, epoch) and shard.sessions.get(sender) == session:
+                    shard.copied[sender] = max(shard.copied[sender], seq)
+            case ms.Deposed(number, epoch):
+                shard = self._shard(number)
+                if shard.assigned is not None and epoch > shard.assigned.epoch and self._home(shard):
+                    shard.deposed = True
+                    self._deposed(shard, "a later epoch has begun")
+
+    def _mine(self, shard: Shard, epoch: int) -> bool:
+        return self._home(shard) and shard.assigned is not None and shard.assigned.epoch == epoch
+
+    def _follows(self, sender: Place, shard: Shard, epoch: int) -> bool:
+        mine = shard.assigned
+        if mine is not None and epoch < mine.epoch:
+            self._answer_old(sender, shard.number, epoch)
+            return False
+        return mine is not None and mine.epoch == epoch and mine.home == sender and self.place in mine.all
+
+    def _answer_old(self, sender: Place, number: int, epoch: int) -> None:
+        mine = self._shard(number).assigned
+        if mine is not None and mine.epoch > epoch:
+            self._say(sender, ms.Deposed(number, mine.epoch), rests=False)
--- a/lotusstream/lab/exhaustive.py
+++ b/lotusstream/lab/exhaustive.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from lotusstream.lab.virtual import Broken
+from lotusstream.lab.world import Broken
 from lotusstream.quorum import events as ev
 from lotusstream.quorum import messages as ms
 from lotusstream.quorum.journal import OnDisk
--- a/lotusstream/lab/virtual.py
+++ b/lotusstream/lab/virtual.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from lotusstream.lab.world import MS, Broken, Node, S, Span, World
 from lotusstream.leases import holder as hold
 from lotusstream.leases.desk import FREED, Asked, LeaseDesk, LookedUp, Passed, Reply
 from lotusstream.leases.granter import LeaseTerms
@@ -21,44 +21,25 @@
 from lotusstream.quorum.keeper import LEADER, Keeper, Pace
 from lotusstream.quorum.messages import Record
 
-MS, S = 1_000, 1_000_000
 PACE = Pace(100 * MS, 400 * MS, batch=300, kept=25)
 TERMS = LeaseTerms(2 * S, 250 * MS, 0.05)
 
 
-class Broken(AssertionError):
-    """Something that must hold did not; the text tells seed and time."""
-
-
-@dataclass(frozen=True, slots=True)
-class Scene:
-    """What a run is made of. Times in microseconds. `faults_end`: from then on everything works again."""
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Scene(Span):
+    """What a run is made of. Times in microseconds."""
 
     keepers: int = 3
     holders: int = 3
     tasks: tuple[str, ...] = ("moves",)
-    length: int = 14 * S
-    faults_end: int = 9 * S
     pace: Pace = PACE
     terms: LeaseTerms = TERMS
     faults: tuple[str, ...] = (
-        "crash",
-        "cut",
-        "one-way",
-        "stop",
-        "wipe",
-        "rollback",
-        "disk",
-        "leave",
-        "unwant",
-    )
-    fault_every: int = 700 * MS
+        "crash", "cut", "one-way", "stop", "wipe", "rollback", "disk", "leave", "unwant"
+    )  # fmt: skip
     together: float = 0.1  # the share of crashes that take all keepers at once
     sync: int = 5 * MS  # the longest time of a sync
     look_every: int = 400 * MS
-    loss: float = 0.02
-    twice: float = 0.02
-    slow: float = 0.02
 
 
 @dataclass(slots=True)
@@ -87,22 +68,6 @@
         self.writing.clear()
 
 
-class Node:
-    """A process: `rate` and `ahead` are its clock's; while it is stopped its clock goes on."""
-
-    def __init__(self, name: str, draw: random.Random, drift: float) -> None:
-        self.name, self.up, self.stopped, self.run = name, True, False, 0
-        self.rate = 1 + draw.choice((-drift, drift, draw.uniform(-drift, drift)))
-        self.ahead = draw.randint(0, 1000 * S)
-        self.waiting: list[Callable[[], None]] = []  # what came while it was stopped
-
-    def clock(self, now: int) -> int:
-        return int(now * self.rate) + self.ahead
-
-    def real(self, at: int) -> int:
-        return int((at - self.ahead) / self.rate) + 1
-
-
 class KeeperNode(Node):
     def __init__(self, name: str, draw: random.Random, drift: float) -> None:
         super().__init__(name, draw, drift)
@@ -167,18 +132,13 @@
             self.fails(f"{' and '.join(f'{who} (token {token})' for who, token in acting)} act for '{task}'")
 
 
-class VirtualFleet:
+class VirtualFleet(World):
     def __init__(self, seed: int, scene: Scene) -> None:
-        self.seed, self.scene, self.draw = seed, scene, random.Random(seed)
-        self.judge, self.now = Judge(seed), 0
-        self._events: list[tuple[int, int, Callable[[], None]]] = []
-        self._count = 0
+        super().__init__(seed, scene)
+        self.scene, self.judge = scene, Judge(seed)
         drift = scene.terms.drift
         self.keepers = {f"k{i}": KeeperNode(f"k{i}", self.draw, drift) for i in range(scene.keepers)}
         self.holders = {f"g{i}": HolderNode(f"g{i}", self.draw, drift) for i in range(scene.holders)}
-        self.cuts: set[tuple[str, str]] = set()
-        self._wakes: dict[str, tuple[int, int]] = {}
-        self._calm_until = 0
         self._fresh = 0
         for holder in self.holders.values():
             holder.holder = self._holder(holder)
@@ -190,45 +150,13 @@
     # The run
 
     def run(self) -> Judge:
-        if self.scene.faults:
-            self.at(self.scene.fault_every, self._fault)
-        self.at(self.scene.faults_end, self._heal)
         self.at(self.scene.look_every, self._read)
-        while self._events and self._events[0][0] <= self.scene.length:
-            self.now, _, act = heapq.heappop(self._events)
-            self.judge.now = self.now
-            act()
+        self.play()
         self._alive()
         return self.judge
 
-    def at(self, when: int, act: Callable[[], None]) -> None:
-        self._count += 1
-        heapq.heappush(self._events, (max(when, self.now), self._count, act))
-
-    def after(self, span: int, act: Callable[[], None]) -> None:
-        self.at(self.now + span, act)
-
-    def _on(self, node: Node, act: Callable[[], None]) -> Callable[[], None]:
-        """Only in this run of the process; while it is stopped it waits."""
-        run = node.run
-
-        def go() -> None:
-            if not node.up or node.run != run:
-                return
-            if node.stopped:
-                node.waiting.append(go)
-            else:
-                act()
-
-        return go
-
-    def _wake(self, node: Node, at: int, act: Callable[[], None]) -> None:
-        real = max(self.now + MS, node.real(at))
-        due, run = self._wakes.get(node.name, (0, -1))
-        if run == node.run and self.now < due <= real:
-            return
-        self._wakes[node.name] = (real, node.run)
-        self.at(real, self._on(node, act))
+    def nodes(self) -> list[Node]:
+        return [*self.keepers.values(), *self.holders.values()]
 
     # Keepers
 
@@ -327,65 +255,21 @@
                         acting.append((node.name, token))
             self.judge.acting(task, acting)
 
-    # The network
-
-    def _deliver(self, source: Node, target: Node, act: Callable[[], None]) -> None:
-        if (source.name, target.name) in self.cuts:
-            return
-        scene, draw = self.scene, self.draw
-        times = 1
-        if self.now < scene.faults_end:
-            lot = draw.random()
-            times = 0 if lot < scene.loss else 2 if lot < scene.loss + scene.twice else 1
-        for _ in range(times):
-            slow = draw.random() < scene.slow and self.now < scene.faults_end
-            span = draw.randint(0, 800 * MS) if slow else draw.randint(200, 5 * MS)
-            self.after(span, self._arriving(target, act))
-
-    def _arriving(self, target: Node, act: Callable[[], None]) -> Callable[[], None]:
-        def go() -> None:  # by whatever run of the process is there then
-            if target.up and not target.stopped:
-                act()
-            elif target.up:
-                target.waiting.append(go)
-
-        return go
-
     # Faults
 
-    def _fault(self) -> None:
-        if self.now >= self.scene.faults_end:
-            return
-        kind = self.draw.choice(self.scene.faults)
-        if self.now >= self._calm_until:
-            getattr(self, "_fault_" + kind.replace("-", "_"))()
-        self.after(self.draw.randint(self.scene.fault_every // 3, 2 * self.scene.fault_every), self._fault)
-
-    def _any(self) -> Node:
-        return self.draw.choice([*self.keepers.values(), *self.holders.values()])
-
     def _any_keeper(self) -> KeeperNode:
         return self.draw.choice(list(self.keepers.values()))
 
-    def _down(self, node: Node) -> None:
+    def down(self, node: Node) -> None:
         if node.up and isinstance(node, KeeperNode):
             node.disk.crash(self.draw)
-        node.up = False
-
-    def _return(self, node: Node, within: int) -> None:
-        run = node.run
-
-        def back() -> None:
-            if not node.up and node.run == run:
-                self._again(node)
-
-        self.after(self.draw.randint(0, within), back)
+        super().down(node)
 
     def _restart(self, node: Node) -> None:
-        self._down(node)
-        self._return(node, S)
+        self.down(node)
+        self.back(node, S)
 
-    def _again(self, node: Node) -> None:
+    def again(self, node: Node) -> None:
         if isinstance(node, KeeperNode):
             self._begin_keeper(node)
         elif isinstance(node, HolderNode):
@@ -396,50 +280,17 @@
             list(self.keepers.values()) if self.draw.random() < self.scene.together else [self._any()]
         )
         for node in nodes:
-            self._down(node)
-            self._return(node, 2 * S)
-
-    def _fault_cut(self) -> None:
-        names = [*self.keepers, *self.holders]
-        side = {name for name in names if self.draw.random() < 0.5}
-        made = {(a, b) for a in names for b in names if (a in side) != (b in side)}
-        self.cuts |= made
-        self.after(self.draw.randint(0, 3 * S), lambda: self.cuts.difference_update(made))
-
-    def _fault_one_way(self) -> None:
-        node = self._any_keeper().name
-        others = [name for name in (*self.keepers, *self.holders) if name != node]
-        made = (
-            {(node, name) for name in others}
-            if self.draw.random() < 0.5
-            else {(name, node) for name in others}
-        )
-        self.cuts |= made
-        self.after(self.draw.randint(0, 3 * S), lambda: self.cuts.difference_update(made))
-
-    def _fault_stop(self) -> None:
-        node = self._any()
-        if not node.up or node.stopped:
-            return
-        node.stopped, run = True, node.run
-
-        def wake() -> None:
-            if node.up and node.run == run and node.stopped:
-                node.stopped = False
-                waiting, node.waiting = node.waiting, []
-                for act in waiting:
-                    act()
-
-        self.after(self.draw.randint(0, 4 * S), wake)
+            self.down(node)
+            self.back(node, 2 * S)
 
     def _fault_wipe(self) -> None:
         """One disk at a time, and the next one only once its group is whole again."""
         if not self._whole():
             return
         node = self._any_keeper()
-        self._down(node)
+        self.down(node)
         node.disk = VirtualDisk()
-        self._return(node, S)
+        self.back(node, S)
 
     def _fault_rollback(self) -> None:
         """To an older copy; all others are there when it comes back, and stay for a while, and what it
@@ -454,10 +305,10 @@
                 return
             if self.now - node.disk.changed < 3 * self.scene.pace.heartbeat:
                 return
-            self._down(node)
+            self.down(node)
             node.disk.synced = older
             self._calm_until = self.now + 2 * self.scene.pace.election
-            self._again(node)
+            self.again(node)
 
         self.after(self.draw.randint(0, S), roll)
 
@@ -494,16 +345,9 @@
             self.after(S, self._on(node, lambda: self._tell_holder(node, hold.Want(task))))
 
     def _heal(self) -> None:
-        self.cuts.clear()
-        for node in [*self.keepers.values(), *self.holders.values()]:
-            if isinstance(node, KeeperNode):
-                node.slow_disk = 0
-            if not node.up:
-                self._again(node)
-            elif node.stopped:
-                node.stopped, waiting, node.waiting = False, node.waiting, []
-                for act in waiting:
-                    act()
+        for node in self.keepers.values():
+            node.slow_disk = 0
+        super()._heal()
 
     def _alive(self) -> None:
         """Once faults have ended: one leader, whole, and somebody acts for every task."""
