--- a/lotusstream/copies/manager.py
+++ b/lotusstream/copies/manager.py
@@ -99,11 +99,15 @@
         self._terms, self._began = terms, now
         self.assigned = {each.shard: each for each in assigned}
         self._seen: dict[Place, _Seen] = {}
-        self._open: dict[int, Assigned] = {}
+        self._open: dict[int, int] = {}  # proposals that nothing is known of yet, since when
+        self._now = now
         self._told = (0, 0)
 
     def handle(self, now: int, event: Event) -> list[Action]:
         out: list[Action] = []
+        self._now = now
+        lost = now - self._terms.leases.length // 2  # its answer was: the quorum takes no epoch twice
+        self._open = {shard: since for shard, since in self._open.items() if since > lost}
         match event:
             case Beacon(holder, session, joined):
                 self._seen[holder.place] = _Seen(holder, session, now)
@@ -132,7 +136,7 @@
         return None if now - self._began < self._terms.leases.length else False
 
     def _propose(self, assigned: Assigned, out: list[Action]) -> None:
-        self._open[assigned.shard] = assigned
+        self._open[assigned.shard] = self._now
         out.append(Propose(assigned))
 
     def _joined(self, joined: Mapping[int, tuple[int, tuple[Place, ...]]], out: list[Action]) -> None:
--- a/tests/copies/test_copies.py
+++ b/tests/copies/test_copies.py
@@ -5,19 +5,14 @@
 from benchmarks.planted_copies import PLANTED, caught
 from lotusstream.copies.shards import Holder, Place, placed
 from lotusstream.lab.copies import play
-from lotusstream.lab.world import Broken
 
 SPAN = 20
-SLOW_TO_END = "not all is copied again"  # stands in docs/design/copies.md
 
 
 @pytest.mark.parametrize("first", range(0, 8 * SPAN, SPAN))
 def test_no_promise_is_lost_and_nothing_takes_effect_twice(first):
     for seed in range(first, first + SPAN):
-        try:
-            play(seed)
-        except Broken as error:
-            assert SLOW_TO_END in str(error)
+        play(seed)
 
 
 @pytest.mark.parametrize("planted", PLANTED, ids=lambda each: each.name)
