Copies on real processes: holders, their store, and a manager under a lease; moves need the lease

Change: net/copies.py drives replicas over one log on the disk (a damaged one is put aside and its copies fill it anew), beacons to whoever holds the task 'copies', whose assignments are notes on the quorum's log; directives holder, copies, shards, repairs; ctl copies. No gateway's commands use it yet. In a fleet, a gateway that never asks for 'moves' begins none: seen by reading, its keeper of cells drove by default.

--- a/lotusstream/cli/ctl_fleet.py
+++ b/lotusstream/cli/ctl_fleet.py
@@ -16,6 +16,13 @@
     gateway_of(context).show(gateway_of(context).ask(wire.Peers()), render.peers)
 
 
+@ctl.command()
+@click.pass_context
+def copies(context: click.Context) -> None:
+    """What this gateway holds for others: shards, their homes and copies."""
+    gateway_of(context).show(gateway_of(context).ask(wire.Copies()), render.copies)
+
+
 @ctl.group()
 def quorum() -> None:
     """The keepers of the log that leases rest on."""
--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -209,6 +209,22 @@
     return Group(_pairs(rows), "", table)
 
 
+def copies(told: Mapping[str, Any]) -> RenderableType:
+    leased = "may promise" if told["leased"] else "may promise nothing: cut off from whoever decides"
+    rows = [
+        ("holder", f"{told['holder']} on {told['machine']}, {told['zone']}, disk {told['disk']}"),
+        ("decided by", told["manager"] or "nobody known"),
+        ("standing", told["trouble"] or leased),
+    ]
+    table = _table("shard>", "epoch>", "home", "copies", "joining", "keys>")
+    for each in sorted(told["shards"], key=lambda each: int(each["shard"])):
+        table.add_row(
+            str(each["shard"]), str(each["epoch"]), each["home"], ", ".join(each["copies"]),
+            ", ".join(each["joining"]), str(each["keys"]),
+        )  # fmt: skip
+    return Group(_pairs(rows), "", table)
+
+
 def _same(mine: Mapping[str, Any], note: Mapping[str, Any]) -> bool:
     return bool(mine["version"] == note["version"] and mine["value"] == note["value"])
 
--- /dev/null
+++ b/lotusstream/lab/fleet/keeping.py
@@ -0,0 +1,76 @@
+"""A client of holders on a rig: claims and finishes keys as a gateway would, at whoever is their home."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import time
+
+from lotusstream.copies.messages import Held, Holding
+from lotusstream.lab.fleet.rig import FleetRig
+from lotusstream.net.actor import Supervisor
+from lotusstream.net.peers import Answer, PeerLink, PeerManners
+from lotusstream.protocol import peers as wire
+
+US = 1_000_000
+ANSWER = 0.5  # seconds for one answer
+
+
+class Keeping:
+    """`async with Keeping(rig)`."""
+
+    def __init__(self, rig: FleetRig) -> None:
+        self._rig, self._supervisor = rig, Supervisor()
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[wire.Kept]] = {}
+        self._links: dict[str, PeerLink] = {}
+        self.home = ""  # who kept the last one
+
+    async def __aenter__(self) -> Keeping:
+        manners = PeerManners(self._rig.group, "client", US, 4)
+        for name in self._rig.holders:
+            address = ("127.0.0.1", self._rig.ports[name])
+            self._links[name] = PeerLink(name, address, manners, 60 * US, self._told, self._supervisor)
+            self._links[name].start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._supervisor.stop()
+
+    def _told(self, frame: wire.AnyFrame, _sender: str, _answer: Answer) -> None:
+        if isinstance(frame, wire.Kept):
+            waiting = self._waiting.pop(frame.number, None)
+            if waiting is not None and not waiting.done():
+                waiting.set_result(frame)
+
+    async def once(self, name: str, holding: Holding) -> wire.Kept | None:
+        """What this holder says, or None."""
+        number = next(self._numbers)
+        waiting: asyncio.Future[wire.Kept] = asyncio.get_running_loop().create_future()
+        self._waiting[number] = waiting
+        self._links[name].put(wire.Keep(number, holding.state is Held.ANSWERED, holding))
+        with contextlib.suppress(TimeoutError):
+            return await asyncio.wait_for(waiting, ANSWER)
+        self._waiting.pop(number, None)
+        return None
+
+    def holding(self, key: str, by: str, answer: bytes = b"", lasts: float = 60.0) -> Holding:
+        state = Held.ANSWERED if answer else Held.SENT
+        return Holding(key, "p", state, by, int((time.time() + lasts) * US), answer)
+
+    async def keep(self, holding: Holding, within: float = 20.0, but: str = "") -> wire.Kept:
+        """Until some home has promised it or knows it. `but`: not to be asked."""
+        async with asyncio.timeout(within):
+            for name in itertools.cycle(each for each in self._rig.holders if each != but):
+                if not self._rig.gateways[name].up:
+                    await asyncio.sleep(0.01)
+                    continue
+                told = await self.once(name, holding)
+                if told is not None and told.home and told.home != but:
+                    name, told = told.home, await self.once(told.home, holding)
+                if told is not None and told.what in ("promised", "known"):
+                    self.home = name
+                    return told
+                await asyncio.sleep(0.05)
+        raise AssertionError("no holder")
--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -130,7 +130,11 @@
         for other in rig.keepers:
             port = rig.ports[other] if other == self.name else rig.relays[self.name, other].port
             lines.append(f'  keeper {other} "127.0.0.1:{port}"')
-        if self.keeper:
+        for other in rig.holders:
+            port = rig.ports[other] if other == self.name else rig.relays[self.name, other].port
+            at = int(other[1:])
+            lines.append(f'  holder {other} "127.0.0.1:{port}" machine m{at} zone z{at % 3}')
+        if self.keeper or rig.holders:
             lines.append(f'  store "{self.store}"')
         lines += [f"  {line}" for line in rig.directives]
         lines += [f"  tasks {' '.join(rig.tasks)}" if rig.tasks else "", "end"]
@@ -235,12 +239,13 @@
     def __init__(
         self, gateways: int = 3, keepers: int = 3, *, seed: int = 1, tasks: tuple[str, ...] = (WITNESS,),
         directives: tuple[str, ...] = ("heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%"),
-        more: tuple[str, ...] = (), tell: Callable[[str], None] | None = None,
+        more: tuple[str, ...] = (), holders: bool = False, tell: Callable[[str], None] | None = None,
     ) -> None:  # fmt: skip
         """`tell`: gets the story, a line at a time."""
         self.seed, self.tasks, self.directives, self.more = seed, tasks, directives, more
         self.names = [f"g{at}" for at in range(1, gateways + 1)]
         self.keepers = self.names[:keepers]
+        self.holders = self.names if holders else []
         self.group, self._tell, self.began = f"rig{seed}", tell, time.monotonic()
         self.folder = Path()
         self.gateways: dict[str, Gateway] = {}
@@ -267,7 +272,7 @@
             self.leader = name
             self._leads.set()
         event = str(told.get("event"))
-        if event.startswith("quorum") or event in ("keepers", "lease", "moves", "failed"):
+        if event.startswith("quorum") or event in ("keepers", "lease", "moves", "copies", "failed"):
             self.say(f"{name}: {event.partition(' ')[0]}: {told.get('text', '')}")
 
     async def __aenter__(self) -> FleetRig:
@@ -275,9 +280,10 @@
         try:
             await self.witness.start()
             self.board = free_port()
-            self.ports = {name: free_port() for name in self.keepers}
+            serving = self.holders or self.keepers
+            self.ports = {name: free_port() for name in serving}
             for source in self.names:
-                for target in self.keepers:
+                for target in serving:
                     if source != target:
                         relay = self.relays[source, target] = Relay(self.ports[target])
                         await relay.start()
--- a/lotusstream/leases/table.py
+++ b/lotusstream/leases/table.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-NOTES, LONGEST_NOTE = 64, 4096
+NOTES, LONGEST_NOTE = 1024, 4096
 CALLERS = (
     512  # whose newest number is kept for each task; older ones may be carried out twice, and harm no one
 )
--- /dev/null
+++ b/lotusstream/net/copies.py
@@ -0,0 +1,329 @@
+"""A holder of copies in a gateway: its shards on its disk, its words to other holders, its beacons to whoever
+decides on homes; and that one's side, as a task under a lease."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import threading
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from lotusstream.copies import manager as mg
+from lotusstream.copies import messages as ms
+from lotusstream.copies import replica as rp
+from lotusstream.copies.manager import CopyTerms, Manager
+from lotusstream.copies.messages import Assigned
+from lotusstream.copies.replica import Replicas, read_back
+from lotusstream.copies.shards import Holder, Place
+from lotusstream.net import clock, keeper
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.connection import US
+from lotusstream.net.tasks import Around
+from lotusstream.protocol import peers as wire
+from lotusstream.record.log import CorruptLog, DiskTrouble, Log
+
+FILE = "copies.log"
+NOTE = "shard/"
+_ASSIGNED: msgspec.json.Decoder[Assigned] = msgspec.json.Decoder(Assigned)
+
+
+class Identity(msgspec.Struct, frozen=True, array_like=True, tag_field="is", tag="disk"):
+    disk: str
+
+
+_RECORDS: msgspec.msgpack.Decoder[Identity | ms.KeptOp | ms.KeptWhole]
+_RECORDS = msgspec.msgpack.Decoder(Identity | ms.KeptOp | ms.KeptWhole)
+
+Put = Callable[[str, int, str, int], Awaitable[str]]  # key, version, value, token: '' once agreed, or why not
+Look = Callable[[], Awaitable[dict[str, Any] | None]]  # what the quorum has, or None
+Tell = Callable[[str, wire.AnyFrame], None]  # to the gateway of this name; may be lost
+
+
+class CopyStore:
+    """One log for all shards. What is damaged is put aside, and this holder comes back as a new one: others
+    have what it had."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        """Raises LogTrouble."""
+        os.makedirs(folder, mode=0o700, exist_ok=True)
+        path = os.path.join(folder, FILE)
+        self.damaged = ""
+        try:
+            self._log = Log(path, keeper.make_disk()).open()
+            records = [_RECORDS.decode(payload) for payload in self._log.payloads]
+        except (CorruptLog, msgspec.MsgspecError) as error:
+            self.damaged = str(error)
+            if not isinstance(error, CorruptLog):
+                self._log.close()
+            os.replace(path, f"{path}.damaged-{time.time_ns()}")
+            self._log, records = Log(path, keeper.make_disk()).open(), []
+        self._log.payloads = []
+        disks = [record.disk for record in records if isinstance(record, Identity)]
+        self.disk = disks[0] if disks else f"{name}-{uuid.uuid4().hex[:12]}"
+        if not disks:
+            self._log.append(msgspec.msgpack.encode(Identity(self.disk)))
+        kept = [record for record in records if not isinstance(record, Identity)]
+        self.shards = read_back(kept)
+        self._writing = threading.Lock()
+        self._least = max(1 << 20, 2 * self._log.size)
+
+    def write(self, saves: list[rp.Save], whole: list[ms.Record]) -> None:
+        """`whole`: all shards as they are, where the log is to be written anew. Raises DiskTrouble."""
+        with self._writing:
+            if whole:
+                records: list[Any] = [Identity(self.disk), *whole]
+                self._log.rewrite(map(msgspec.msgpack.encode, records))
+                self._least = max(1 << 20, 2 * self._log.size)
+            else:
+                records = [record for save in saves for record in save.records]
+                self._log.append(*map(msgspec.msgpack.encode, records))
+
+    @property
+    def is_long(self) -> bool:
+        return self._log.size > self._least
+
+    def close(self) -> None:
+        with self._writing:
+            self._log.close()
+
+
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """Of another gateway, or of this one."""
+
+    frame: wire.Keep
+    answer: Callable[[wire.AnyFrame], None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Beaten:
+    frame: wire.Beaten
+
+
+class CopiesActor(Actor[Any]):
+    """Events of `Replicas` in its mailbox. A disk that fails ends it until the gateway begins anew."""
+
+    def __init__(
+        self, name: str, machine: str, zone: str, terms: CopyTerms, folder: str, tell: Tell, look: Look,
+        supervisor: Supervisor,
+    ) -> None:  # fmt: skip
+        super().__init__("copies", supervisor)
+        self._terms, self._tell, self._look = terms, tell, look
+        self._store = CopyStore(folder, name)
+        if self._store.damaged:
+            supervisor.log.say("copies", f"put aside, and copied anew: {self._store.damaged}", "error")
+        self.holder = Holder(Place(name, self._store.disk), machine, zone)
+        session = f"{self._store.disk}.{uuid.uuid4().hex[:8]}"
+        place = self.holder.place
+        self.replicas = Replicas(place, session, terms, self._store.shards, clock.boot_clock())
+        self._saves: list[rp.Save] = []
+        self._saving = False
+        self._failed = ""
+        self._tickets: dict[int, tuple[int, Callable[[wire.AnyFrame], None]]] = {}
+        self._ticket = 0
+        self._beats: dict[int, int] = {}
+        self._beat, self._answered = 0, 0
+        self.manager = ""
+        self.homes: dict[int, Place] = {}
+
+    def start(self) -> None:
+        super().start()
+        self.supervisor.keep("beacons", self._beacons)
+
+    async def _beacons(self) -> None:
+        """Several in a lease; whoever decides is looked for while none is answered."""
+        length = self._terms.leases.length
+        while True:
+            now = clock.boot_clock()
+            if now - self._answered > length // 2:
+                view = await self._look()
+                leases = {row["task"]: row["holder"] for row in (view or {}).get("leases", [])}
+                self.manager = leases.get("copies", "")
+            if self.manager and not self._failed:
+                self._beat += 1
+                self._beats = {number: at for number, at in self._beats.items() if now - at < length}
+                self._beats[self._beat] = clock.boot_clock()
+                joined = self.replicas.joined()
+                self._tell(self.manager, wire.Beat(self._beat, self.holder, self.replicas.session, joined))
+            self.post(rp.Tick(time.time_ns() // 1000))
+            await asyncio.sleep(length / US / 8)
+
+    def heard(self, frame: wire.AnyFrame, answer: Callable[[wire.AnyFrame], None]) -> None:
+        match frame:
+            case wire.Word(source, to, word):
+                if to == self.holder.place:
+                    self.post(rp.Heard(source, word))
+            case wire.Keep():
+                self.post(_Asked(frame, answer))
+            case wire.Beaten():
+                self.post(_Beaten(frame))
+
+    async def receive(self, message: Any) -> None:
+        if self._failed:
+            return
+        match message:
+            case _Asked(frame, answer):
+                self._ticket += 1
+                self._tickets[self._ticket] = (frame.number, answer)
+                kind = rp.Finish if frame.finish else rp.Claim
+                self._take(kind(self._ticket, frame.holding, time.time_ns() // 1000))
+            case _Beaten(frame):
+                sent = self._beats.get(frame.number)
+                if sent is not None:
+                    self._answered = clock.boot_clock()
+                    self.homes = dict(frame.homes)
+                    self._take(rp.LeaseFrom(sent))
+                for assigned in frame.assigned:
+                    self._take(rp.Learnt(assigned))
+            case _:
+                self._take(message)
+
+    def _take(self, event: rp.Event) -> None:
+        for action in self.replicas.handle(clock.boot_clock(), event):
+            match action:
+                case rp.Save():
+                    self._saves.append(action)
+                    if not self._saving:
+                        self._saving = True
+                        self.supervisor.start("copies store", self._save())
+                case rp.Say(to, word):
+                    self._tell(to.name, wire.Word(self.holder.place, to, word))
+                case rp.Promised(ticket):
+                    self._answer(ticket, "promised", None)
+                case rp.Known(ticket, holding):
+                    self._answer(ticket, "known", holding)
+                case rp.Unkept(ticket, why, home, maybe):
+                    self._answer(ticket, "maybe" if maybe else "unkept", None, why, home)
+
+    def _answer(self, ticket: int, what: str, holding: Any, why: str = "", home: str = "") -> None:
+        if (found := self._tickets.pop(ticket, None)) is not None:
+            number, answer = found
+            answer(wire.Kept(number, what, holding, why, home))
+
+    async def _save(self) -> None:
+        """All that has come meanwhile, by one sync."""
+        while self._saves:
+            saves, self._saves = self._saves, []
+            whole = self._whole() if self._store.is_long else []
+            try:
+                await asyncio.to_thread(self._store.write, saves, whole)
+            except DiskTrouble as error:
+                self._failed = str(error)
+                self.supervisor.counters.add("copies disk failures")
+                self.supervisor.log.say("copies", f"this holder stands still: {error}", "error")
+                return
+            self.post(rp.Persisted(saves[-1].number))
+        self._saving = False
+
+    def _whole(self) -> list[ms.Record]:
+        return [
+            ms.KeptWhole(shard.number, *shard.last, tuple(shard.holdings.values()))
+            for shard in self.replicas.shards.values()
+        ]
+
+    def view(self) -> dict[str, Any]:
+        """For people."""
+        rows = []
+        for shard in self.replicas.shards.values():
+            if (mine := shard.assigned) is not None:
+                rows.append(
+                    {
+                        "shard": shard.number, "epoch": mine.epoch, "home": mine.home.name,
+                        "copies": [each.name for each in mine.backups],
+                        "joining": [each.name for each in mine.joining], "keys": len(shard.holdings),
+                    }
+                )  # fmt: skip
+        return {
+            "holder": self.holder.place.name,
+            "disk": self.holder.place.disk,
+            "machine": self.holder.machine,
+            "zone": self.holder.zone,
+            "manager": self.manager,
+            "leased": self.replicas.leased,
+            "trouble": self._failed,
+            "shards": rows,
+        }
+
+    async def stop(self) -> None:
+        await super().stop()
+        await asyncio.to_thread(self._store.close)
+
+
+class ManagerTask(Actor[Any]):
+    """Who decides on homes: a task under the lease 'copies'. Looks at its token before each word."""
+
+    def __init__(self, around: Around, terms: CopyTerms, tell: Tell, put: Put, look: Look) -> None:
+        super().__init__("copies manager", around.supervisor)
+        self._around, self._terms, self._tell, self._put, self._look = around, terms, tell, put, look
+        self._manager: Manager | None = None
+        self._token = 0
+        self._waiting: dict[tuple[Place, str], int] = {}
+        self._work: asyncio.Task[None] | None = None
+        self._running = False
+
+    def begin(self, token: int) -> None:
+        self._token = token
+        if not self._running:
+            self._running = True
+            self.start()
+        self._work = self.supervisor.start("copies manager", self._manage(token))
+
+    def stop(self, why: str = "") -> None:  # type: ignore[override]
+        self._manager, self._token = None, 0
+        if self._work is not None:
+            self._work.cancel()
+            self._work = None
+
+    async def _manage(self, token: int) -> None:
+        while (view := await self._look()) is None:
+            await asyncio.sleep(self._terms.leases.length / US / 8)
+        if self._around.may_act() != token:
+            return
+        assigned = [
+            _ASSIGNED.decode(note["value"]) for key, note in view["notes"].items() if key.startswith(NOTE)
+        ]
+        self._manager = Manager(self._terms, assigned, clock.boot_clock())
+        while True:
+            self.post(mg.Tick())
+            await asyncio.sleep(self._terms.leases.length / US / 20)
+
+    async def receive(self, message: Any) -> None:
+        manager = self._manager
+        if manager is None or not self._token or self._around.may_act() != self._token:
+            return
+        if isinstance(message, wire.Beat):
+            self._waiting[message.holder.place, message.session] = message.number
+            message = mg.Beacon(message.holder, message.session, message.joined)
+        for action in manager.handle(clock.boot_clock(), message):
+            match action:
+                case mg.Propose(assigned):
+                    self.supervisor.start("assigning", self._propose(assigned, self._token))
+                case mg.Answer(place, session):
+                    number = self._waiting.pop((place, session), 0)
+                    mine = tuple(each for each in manager.assigned.values() if place in each.all)
+                    homes = {shard: each.home for shard, each in manager.assigned.items()}
+                    self._tell(place.name, wire.Beaten(number, mine, homes))
+                case mg.Endangered(thin, lost):
+                    text = f"{thin} shards bear no further loss, {lost} have nobody left"
+                    severity = "warning" if thin or lost else "info"
+                    self.supervisor.log.say("copies", text, severity, thin=thin, lost=lost)
+
+    async def _propose(self, assigned: Assigned, token: int) -> None:
+        value = msgspec.json.encode(assigned).decode()
+        why = await self._put(f"{NOTE}{assigned.shard}", assigned.epoch, value, token)
+        if self._token != token:
+            return
+        if not why:
+            text = f"shard {assigned.shard}, epoch {assigned.epoch}: home {assigned.home.name}"
+            self.supervisor.log.say("assigned", text, "debug", shard=assigned.shard, epoch=assigned.epoch)
+            self.post(mg.Agreed(assigned))
+            return
+        view = await self._look()
+        note = (view or {}).get("notes", {}).get(f"{NOTE}{assigned.shard}")
+        self.post(mg.NotAgreed(assigned.shard, _ASSIGNED.decode(note["value"]) if note else None))
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import uuid
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from lotusstream.leases import holder as hold
 from lotusstream.leases.desk import FREED, Asked, Changed, LookedUp
@@ -17,13 +17,16 @@
 from lotusstream.net.decider import Decider
 from lotusstream.net.keeper import KeeperActor, KeeperTerms, open_store
 from lotusstream.net.peers import Answer, PeerLink, PeerManners, PeerServer
-from lotusstream.net.tasks import MAKERS, Agree, Around, Task
-from lotusstream.operator.fleet import FleetText
+from lotusstream.net.tasks import MAKERS, Agree, Around, Makers, Task
+from lotusstream.operator.fleet import COPIES, FleetText, KeeperAddress
 from lotusstream.protocol import peers as wire
 from lotusstream.quorum import events as ev
 from lotusstream.quorum.messages import Envelope
 from lotusstream.record.log import DiskTrouble
 
+if TYPE_CHECKING:
+    from lotusstream.net.copies import CopiesActor, ManagerTask
+
 ANSWER_WITHIN = 3.0  # seconds, of an operator's question
 
 
@@ -31,7 +34,7 @@
     """Drives the holder on the clock that counts sleep, and the tasks by what it says."""
 
     def __init__(
-        self, name: str, told: FleetText, seed: int, ask: Any, agree: Agree, decider: Decider,
+        self, name: str, told: FleetText, seed: int, ask: Any, agree: Agree, makers: Makers, decider: Decider,
         supervisor: Supervisor,
     ) -> None:  # fmt: skip
         super().__init__("leases", supervisor)
@@ -43,7 +46,7 @@
         self.since: dict[str, int] = {}
         self.token: dict[str, int] = {}
         self.tasks: dict[str, Task] = {
-            task: MAKERS[task](Around(name, self._may_act(task), decider.post, supervisor, agree))
+            task: makers[task](Around(name, self._may_act(task), decider.post, supervisor, agree))
             for task in told.tasks
         }
 
@@ -103,14 +106,20 @@
         self._number = 0
         manners = PeerManners(told.group, name, told.patience, told.callers)
         idle = 3 * told.leases.length
+        others: tuple[KeeperAddress, ...] = (*told.keepers, *told.holders)
         self.links = {
             each.name: PeerLink(each.name, (each.host, each.port), manners, idle, self._told_by, supervisor)
-            for each in told.keepers
+            for each in others
             if each.name != name
         }
         self.keeper: KeeperActor | None = None
         self._server: PeerServer | None = None
-        if (mine := told.keeper(name)) is not None:
+        self.copies: CopiesActor | None = None
+        self._manager: ManagerTask | None = None
+        here = told.keeper(name) or told.holder(name)
+        if here is not None:
+            self._server = PeerServer(told.listen or (here.host, here.port), manners, self._heard, supervisor)
+        if told.keeper(name) is not None:
             assert told.store is not None
             try:
                 store = open_store(told.store)
@@ -120,10 +129,19 @@
             named = tuple(each.name for each in told.keepers)
             terms = KeeperTerms(name, told.store, named, told.pace, told.leases, seed)
             self.keeper = KeeperActor(terms, store, self._carry, supervisor)
-            address = told.listen or (mine.host, mine.port)
-            self._server = PeerServer(address, manners, self._heard, supervisor)
         self.brings: dict[str, tuple[int, str]] = {}  # by key: version and value that this gateway knows
-        self.holder = HolderActor(name, told, seed, self._ask, self._agree, decider, supervisor)
+        makers = dict(MAKERS)
+        if told.copies is not None:
+            makers[COPIES] = self._make_manager
+        if (holds := told.holder(name)) is not None and told.copies is not None:
+            from lotusstream.net.copies import CopiesActor
+
+            assert told.store is not None
+            machine, zone = holds.machine, holds.zone
+            self.copies = CopiesActor(
+                name, machine, zone, told.copies, told.store, self._tell, self._look, supervisor
+            )
+        self.holder = HolderActor(name, told, seed, self._ask, self._agree, makers, decider, supervisor)
 
     def start(self) -> None:
         """Raises OSError where peers can't be taken."""
@@ -134,6 +152,8 @@
         for link in self.links.values():
             link.start()
         self.holder.start()
+        if self.copies is not None:
+            self.copies.start()
 
     def leave(self) -> None:
         """A planned stop: leases are released and leadership is handed over, as far as that goes at once."""
@@ -144,6 +164,8 @@
 
     async def stop(self) -> None:
         await self.holder.stop()
+        if self.copies is not None:
+            await self.copies.stop()
         if self._server is not None:
             self._server.stop()
         if self.keeper is not None:
@@ -153,7 +175,18 @@
 
     def _heard(self, frame: wire.AnyFrame, sender: str, answer: Answer) -> None:
         """By a connection that another gateway has opened."""
-        assert self.keeper is not None
+        if isinstance(frame, wire.Beat):
+            if self._manager is not None:
+                self._manager.post(frame)
+            return
+        if isinstance(frame, wire.Word) and frame.source.name != sender:
+            return
+        if isinstance(frame, wire.Word | wire.Keep | wire.Beaten):
+            if self.copies is not None:
+                self.copies.heard(frame, answer)
+            return
+        if self.keeper is None:
+            return
         match frame:
             case wire.Quorum(envelope):
                 if envelope.sender == sender:
@@ -169,6 +202,35 @@
         if isinstance(frame, wire.Told):
             self._take(frame)
 
+    # Copies
+
+    def _make_manager(self, around: Around) -> Task:
+        from lotusstream.net.copies import ManagerTask
+
+        assert self._told.copies is not None
+        self._manager = ManagerTask(around, self._told.copies, self._tell, self._put, self._look)
+        return self._manager
+
+    def _tell(self, name: str, frame: wire.AnyFrame) -> None:
+        if name == self._name:
+            self._heard(frame, name, lambda _: None)
+        elif (link := self.links.get(name)) is not None:
+            link.put(frame)
+
+    async def _look(self) -> dict[str, Any] | None:
+        try:
+            return (await self._question(wire.Look)).view
+        except Refused:
+            return None
+
+    async def _put(self, key: str, version: int, value: str, token: int) -> str:
+        wish = Put(COPIES, token, key, version, value)
+        try:
+            told = await self._question(lambda number: wire.Ask(number, wish))
+        except Refused as error:
+            return str(error)
+        return "" if told.granted is not None and told.granted.done else (told.granted or told).why
+
     def _take(self, told: wire.Told) -> None:
         if (waiting := self._asked.pop(told.number, None)) is not None:
             if not waiting.done():
@@ -203,6 +265,12 @@
             self.brings[key] = (version, value)
             self.holder.anew()
 
+    def held(self) -> dict[str, Any]:
+        """What this gateway holds for others."""
+        if self.copies is None:
+            raise Refused("absent", "this gateway is no holder: the operator file names none of its name")
+        return self.copies.view()
+
     # For operators
 
     async def _question(self, make: Any) -> wire.Told:
--- a/lotusstream/net/parts.py
+++ b/lotusstream/net/parts.py
@@ -164,9 +164,19 @@
             seed = given.deployment.started.seed
             self.fleet = Fleet(told, given.name, seed, decider, self.around.supervisor)
             self.anew(self.around.file)
+            self._leave_moves_to_others(decider)
         except LogTrouble as error:
             raise UnusableConfiguration(f"fleet: {error}") from error
 
+    def _leave_moves_to_others(self, decider: Decider) -> None:
+        """In a fleet a move needs the lease, also where this gateway never asks for it."""
+        from lotusstream.cells.keeper import Drives
+        from lotusstream.operator.fleet import MOVES
+
+        told = self.around.file.fleet
+        if told is not None and self.around.file.cells is not None and MOVES not in told.tasks:
+            decider.post(Tell(Drives(0)))
+
     def anew(self, file: OperatorFile) -> None:
         from lotusstream.net.tasks import PLAN
 
--- a/lotusstream/net/tasks.py
+++ b/lotusstream/net/tasks.py
@@ -64,4 +64,5 @@
         self._around.tell_decider(Tell(Drives(0)))
 
 
-MAKERS: dict[str, Callable[[Around], Task]] = {MOVES: MovesTask}
+Makers = dict[str, Callable[[Around], Task]]
+MAKERS: Makers = {MOVES: MovesTask}
--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
+from lotusstream.copies.manager import CopyTerms
+from lotusstream.copies.shards import SHARDS
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.operator.grammar import Word
 from lotusstream.operator.problems import Problem, nearest
@@ -14,8 +16,11 @@
 
 MS, SECOND = 1_000, 1_000_000
 LEASE, DRIFT, HEARTBEAT, PATIENCE = 10 * SECOND, 0.02, 100 * MS, SECOND
-MOVES = "moves"
-TASKS = {MOVES: "who begins moves of tenants between cells"}  # what a gateway may act for, and what it means
+MOVES, COPIES = "moves", "copies"
+TASKS = {
+    MOVES: "who begins moves of tenants between cells",
+    COPIES: "who decides where copies are held",
+}  # what a gateway may act for, and what it means
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +30,14 @@
     port: int
 
 
+@dataclass(frozen=True, slots=True)
+class HolderAddress(KeeperAddress):
+    """A gateway that holds things for others, where, and what may be lost with it."""
+
+    machine: str
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class FleetText:
     """Times in microseconds. `store`: the folder of this gateway's log, if it is a keeper. `listen`: where it
@@ -39,10 +52,16 @@
     patience: int
     callers: int
     tasks: tuple[str, ...]
+    holders: tuple[HolderAddress, ...] = ()
+    copies: CopyTerms | None = None
 
     def descriptors(self, name: str) -> int:
         """How many the gateway of this name needs for it at most."""
-        return len(self.keepers) + 4 + (self.callers + 4 if self.keeper(name) else 0)
+        serves = self.keeper(name) or self.holder(name)
+        return len({*self.keepers, *self.holders}) + 4 + (self.callers + 4 if serves else 0)
+
+    def holder(self, name: str) -> HolderAddress | None:
+        return next((each for each in self.holders if each.name == name), None)
 
     def keeper(self, name: str) -> KeeperAddress | None:
         return next((each for each in self.keepers if each.name == name), None)
@@ -71,6 +90,16 @@
                   required=True),
         Directive("keeper", "a gateway that keeps the quorum's log, by its name, and where peers reach it",
                   (Argument("a name", name), Argument("an address", address)), many=True, required=True),
+        Directive("holder", "a gateway that holds things for others, and what may be lost together",
+                  (Argument("a name", name), Argument("an address", address),
+                   Argument("a machine", name, after="machine"), Argument("a zone", name, after="zone")),
+                  many=True),
+        Directive("copies", "on how many disks things are held, and from how many on they are promised",
+                  (Argument("a number", number(2, 7)), Argument("a promise", number(2, 7), after="promise"))),
+        Directive("shards", "into how many shards keys are divided; the same for good",
+                  (Argument("a number", number(1, 512)),)),
+        Directive("repairs", "how many shards are copied anew at a time",
+                  (Argument("a number", number(1, 512)),)),
         Directive("store", "the folder of this keeper's log", (Argument("a path", path),)),
         Directive("listen", "where this keeper takes peers, if not at its own address above",
                   (Argument("an address", address),)),
@@ -97,20 +126,34 @@
     length = block.value("lease", "a time", LEASE)
     drift = block.value("drift", "a share", DRIFT)
     least = LeaseTerms(length, 0, drift).least_margin()
+    margin = block.value("margin", "a time", max(length // 8, least))
     found = FleetText(
         block.value("group", "a name", ""),
         keepers,
         block.value("store", "a path"),
         block.value("listen", "an address"),
         Pace(beat, election),
-        LeaseTerms(length, block.value("margin", "a time", max(length // 8, least)), drift),
+        LeaseTerms(length, margin, drift),
         block.value("peer-patience", "a time", PATIENCE),
         block.value("peers-most", "a number", 256),
         block.value("tasks", "rest", ()),
+        tuple(
+            HolderAddress(at["a name"], at["an address"][0], at["an address"][1], at["a machine"], at["a zone"])
+            for at in (node.values for node in block.all("holder"))
+        ),
+        _copies(block, LeaseTerms(length, margin, drift)),
     )
     return found, list(_wrong(file, block, found))
 
 
+def _copies(block: Node, leases: LeaseTerms) -> CopyTerms | None:
+    if (node := block.one("copies")) is None:
+        return None
+    shards = block.value("shards", "a number", SHARDS)
+    repairs = block.value("repairs", "a number", 4)
+    return CopyTerms(node.values["a number"], node.values["a promise"], leases, repairs, shards)
+
+
 def _wrong(file: str, block: Node, told: FleetText) -> Iterator[Problem]:
     def wrong(keyword: str, what: str, hint: str, last: bool = False) -> Problem:
         nodes = block.all(keyword)
@@ -130,6 +173,16 @@
         if sum((each.host, each.port) == place for each in told.keepers) > 1:
             what = f"two keepers at {place[0]}:{place[1]}"
             yield Problem(file, node.line, node.column, what, "give each its own address")
+    if told.copies is not None:
+        machines = {each.machine for each in told.holders}
+        if told.copies.promise > told.copies.copies:
+            what = f"a promise on {told.copies.promise} of {told.copies.copies} disks"
+            yield wrong("copies", what, "no more than there are copies")
+        if len(machines) < told.copies.copies:
+            what = f"{told.copies.copies} copies on holders of {len(machines)} machines"
+            yield wrong("copies", what, "name holders on as many machines: no two copies share one")
+    elif told.holders or COPIES in told.tasks:
+        yield wrong("holder", "holders without 'copies'", "say on how many disks: copies 3 promise 2")
     pace, terms = told.pace, told.leases
     if pace.heartbeat < MS:
         yield wrong("heartbeat", "a heartbeat under 1ms", f"{write_time(HEARTBEAT)} would do")
@@ -155,6 +208,6 @@
 
 def unfit_fleet(file: str, block: Node, told: FleetText, gateway: str) -> Iterator[Problem]:
     """What does not go with the gateway's own name."""
-    if told.keeper(gateway) is not None and told.store is None:
-        what = f"'{gateway}' is a keeper and has no store"
+    if (told.keeper(gateway) or told.holder(gateway)) and told.store is None:
+        what = f"'{gateway}' is a {'keeper' if told.keeper(gateway) else 'holder'} and has no store"
         yield Problem(file, block.line, block.column, what, "name a folder: store PATH")
--- a/lotusstream/protocol/control.py
+++ b/lotusstream/protocol/control.py
@@ -83,6 +83,10 @@
     pass
 
 
+class Copies(Request, tag="copies"):
+    pass
+
+
 class GiveUpLease(Request, tag="give-up"):
     """`heir`: who gets it next, or whoever comes first."""
 
@@ -106,6 +110,7 @@
     | ChangeKeeper
     | Leases
     | GiveUpLease
+    | Copies
 )
 
 _REQUESTS: msgspec.json.Decoder[Asking] = msgspec.json.Decoder(Asking)
--- a/lotusstream/protocol/peers.py
+++ b/lotusstream/protocol/peers.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from lotusstream.copies.messages import AnyWord, Assigned, Holding
+from lotusstream.copies.shards import Holder, Place
 from lotusstream.leases.table import AnyWish, Granted
 from lotusstream.quorum.messages import Envelope
 
@@ -74,7 +76,50 @@
     view: dict[str, Any] | None = None
 
 
-AnyFrame = Greeting | Ping | Pong | Quorum | Ask | Look | Alter | Told
+class Word(Frame, frozen=True, tag="word"):
+    """Between two holders of copies."""
+
+    source: Place
+    to: Place
+    word: AnyWord
+
+
+class Beat(Frame, frozen=True, tag="beat"):
+    """A holder's beacon to whoever decides on homes. `joined`: by shard, epoch and whom it has filled."""
+
+    number: int
+    holder: Holder
+    session: str
+    joined: dict[int, tuple[int, tuple[Place, ...]]]
+
+
+class Beaten(Frame, frozen=True, tag="beaten"):
+    """The answer: what this holder has to do with, and all homes."""
+
+    number: int
+    assigned: tuple[Assigned, ...]
+    homes: dict[int, Place]
+
+
+class Keep(Frame, frozen=True, tag="keep"):
+    """Asks a home to hold something, before it is sent or (`finish`) answered."""
+
+    number: int
+    finish: bool
+    holding: Holding
+
+
+class Kept(Frame, frozen=True, tag="kept"):
+    """`what`: promised, known (with the holding that is there), unkept, or maybe. `home`: whom to ask."""
+
+    number: int
+    what: str
+    holding: Holding | None
+    why: str
+    home: str
+
+
+AnyFrame = Greeting | Ping | Pong | Quorum | Ask | Look | Alter | Told | Word | Beat | Beaten | Keep | Kept
 
 _FRAMES: msgspec.msgpack.Decoder[AnyFrame] = msgspec.msgpack.Decoder(AnyFrame)
 
--- /dev/null
+++ b/tests/fleet/test_copies_on_processes.py
@@ -0,0 +1,154 @@
+"""Stories of machines that are lost with their disks: what was promised is known elsewhere."""
+
+import asyncio
+import signal
+
+import pytest
+
+from lotusstream.lab.fleet.keeping import Keeping
+from lotusstream.lab.fleet.rig import FleetRig
+from lotusstream.protocol import control as wire
+
+KEYS = [f"command-{at}" for at in range(6)]
+DIRECTIVES = ("heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%", "copies 3 promise 2", "shards 4")
+
+
+@pytest.fixture
+async def fleet():
+    async with FleetRig(5, 3, seed=77, tasks=("copies",), directives=DIRECTIVES, holders=True) as rig:
+        async with Keeping(rig) as keeping:
+            yield rig, keeping
+        broken = [line for each in rig.gateways.values() for line in each.lines if "Traceback" in line]
+        assert not broken, broken[0]
+
+
+async def answered(keeping, keys=KEYS):
+    """Each claimed, and its answer kept."""
+    homes = {}
+    for key in keys:
+        assert (await keeping.keep(keeping.holding(key, "g"))).what == "promised"
+        assert (await keeping.keep(keeping.holding(key, "g", f"answer to {key}".encode()))).what == "promised"
+        homes[key] = keeping.home
+    return homes
+
+
+async def all_known(keeping, keys=KEYS):
+    """A repeat by another gateway gets the recorded answers, and may send nothing."""
+    for key in keys:
+        told = await keeping.keep(keeping.holding(key, "another"))
+        assert told.what == "known"
+        assert told.holding.answer == f"answer to {key}".encode()
+
+
+async def whole(rig, without=()):
+    """Every shard has three copies again, none on those that are gone."""
+
+    async def look():
+        rows = {}
+        for name, gateway in rig.gateways.items():
+            if gateway.up and name not in without:
+                for row in (await gateway.ask(wire.Copies()))["shards"]:
+                    if row["home"] == name:
+                        rows[row["shard"]] = row
+        return len(rows) == 4 and all(len(row["copies"]) == 2 and not row["joining"] for row in rows.values())
+
+    async with asyncio.timeout(30):
+        while not await look():
+            await asyncio.sleep(0.1)
+
+
+async def lose(rig, name):
+    await rig.gateways[name].kill()
+    rig.gateways[name].wipe()
+
+
+async def test_a_home_lost_with_its_disk_and_then_a_copy_and_then_the_next_home(fleet):
+    rig, keeping = fleet
+    homes = await answered(keeping)
+    for _ in range(3):
+        lost = homes[KEYS[0]]
+        await lose(rig, lost)
+        await all_known(keeping)
+        await rig.gateways[lost].start()  # an empty disk: another holder
+        await rig.gateways[lost].ready()
+        await whole(rig)
+        homes[KEYS[0]] = await keeper_of(keeping, KEYS[0])
+
+
+async def keeper_of(keeping, key):
+    await keeping.keep(keeping.holding(key, "another"))
+    return keeping.home
+
+
+async def test_a_home_lost_between_taking_and_answering_lets_nobody_send_again(fleet):
+    rig, keeping = fleet
+    assert (await keeping.keep(keeping.holding("half", "g"))).what == "promised"
+    await lose(rig, keeping.home)
+    told = await keeping.keep(keeping.holding("half", "another"))
+    assert told.what == "known"
+    assert not told.holding.answer  # it may have run
+
+
+async def test_a_deposed_home_that_wakes_promises_nothing(fleet):
+    rig, keeping = fleet
+    homes = await answered(keeping)
+    old = homes[KEYS[0]]
+    rig.gateways[old].signal(signal.SIGSTOP)
+    await all_known(keeping)  # by others
+    rig.gateways[old].signal(signal.SIGCONT)
+    for at in range(20):
+        told = await keeping.once(old, keeping.holding(f"late-{at}", "g"))
+        if told is not None and told.what == "promised":  # of a shard given to it since: others have it
+            await lose(rig, old)
+            assert (await keeping.keep(keeping.holding(f"late-{at}", "another"))).what == "known"
+            return
+
+
+async def test_a_home_cut_off_with_its_client_keeps_nothing_while_the_others_go_on(fleet):
+    rig, keeping = fleet
+    homes = await answered(keeping)
+    home = homes[KEYS[0]]
+    rig.cut(home)
+    told = await keeping.keep(keeping.holding(KEYS[0], "another"), but=home)
+    assert told.what == "known"
+    assert (await keeping.keep(keeping.holding("new", "g"), but=home)).what == "promised"
+    late = await keeping.once(home, keeping.holding("cut", "g"))
+    assert late is None or late.what in ("unkept", "maybe")
+
+
+async def test_a_flipped_byte_puts_a_log_aside_and_its_copies_fill_it_anew(fleet):
+    rig, keeping = fleet
+    await answered(keeping)
+    await whole(rig)
+    name = keeping.home
+    disk = (await rig.gateways[name].ask(wire.Copies()))["disk"]
+    await rig.gateways[name].kill()
+    log = rig.gateways[name].store / "copies.log"
+    data = bytearray(log.read_bytes())
+    data[len(data) // 2] ^= 0x40
+    log.write_bytes(data)
+    await rig.gateways[name].start()
+    await rig.gateways[name].ready()
+    await all_known(keeping)
+    assert (await rig.gateways[name].ask(wire.Copies()))["disk"] != disk
+    assert list(rig.gateways[name].store.glob("copies.log.damaged-*"))
+    await whole(rig)
+
+
+async def test_all_killed_at_once_know_everything_again(fleet):
+    rig, keeping = fleet
+    await answered(keeping)
+    await asyncio.gather(*(gateway.kill() for gateway in rig.gateways.values()))
+    await asyncio.gather(*(gateway.start() for gateway in rig.gateways.values()))
+    await asyncio.gather(*(gateway.ready() for gateway in rig.gateways.values()))
+    await all_known(keeping)
+
+
+async def test_a_copy_on_a_full_disk_is_left_out_and_promises_go_on(fleet):
+    rig, keeping = fleet
+    await answered(keeping)
+    await whole(rig)
+    copy = next(name for name in rig.names if name != keeping.home)
+    rig.gateways[copy].set_disk("full")
+    await answered(keeping, [f"more-{at}" for at in range(4)])
+    await all_known(keeping)
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -292,6 +292,13 @@
     await moved(rig, other)
 
 
+async def test_a_gateway_that_never_asks_for_moves_begins_none(fleet):
+    rig = await fleet(3, 3, tasks=(), more=(CELLS,))
+    for name in rig.names:
+        with pytest.raises(Lost, match="another gateway drives moves"):
+            await rig.gateways[name].ask(wire.MoveCell("library-7", "other"))
+
+
 async def test_a_gateway_with_another_plan_of_the_same_number_begins_no_move(fleet):
     rig = await fleet(3, 3, tasks=("moves",), more=(CELLS,))
     first = await driver(rig)
