--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -138,8 +138,9 @@
         block.value("peers-most", "a number", 256),
         block.value("tasks", "rest", ()),
         tuple(
-            HolderAddress(at["a name"], at["an address"][0], at["an address"][1], at["a machine"], at["a zone"])
-            for at in (node.values for node in block.all("holder"))
+            HolderAddress(told["a name"], host, port, told["a machine"], told["a zone"])
+            for told in (node.values for node in block.all("holder"))
+            for host, port in (told["an address"],)
         ),
         _copies(block, LeaseTerms(length, margin, drift)),
     )
