--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -223,8 +223,9 @@
         except Refused:
             return None
 
-    async def _put(self, key: str, version: int, value: str, token: int) -> str:
-        wish = Put(COPIES, token, key, version, value)
+    async def _put(self, key: str, version: int, value: str, token: int, task: str = COPIES) -> str:
+        """Why a note is not agreed on, or ''."""
+        wish = Put(task, token, key, version, value)
         try:
             told = await self._question(lambda number: wire.Ask(number, wish))
         except Refused as error:
@@ -253,12 +254,7 @@
     async def _agree(self, key: str, token: int, task: str) -> str:
         """Why what this gateway brings is not agreed on, or ''."""
         version, value = self.brings.get(key, (0, ""))
-        wish = Put(task, token, key, version, value)
-        try:
-            told = await self._question(lambda number: wire.Ask(number, wish))
-        except Refused as error:
-            return str(error)
-        return "" if told.granted is not None and told.granted.done else (told.granted or told).why
+        return await self._put(key, version, value, token, task)
 
     def bring(self, key: str, version: int, value: str) -> None:
         if self.brings.get(key) != (version, value):
