A gateway claims a marked command before it sends it, and holds its answer before it gives it

Need: what a gateway holds for others has to survive the loss of its machine with its disk; holders were there, no gateway's own commands used them.

Where nothing can be promised only commands with a mark are refused, at once. - net/promises.py stands between the decider and the engines for commands with a mark. - Turned on by the directive `remember TIME`; without it nothing is loaded and nothing changes.

Measured: eight stories on five processes each lose gateways with their disks between taking and answering; no effect twice, every repeat the same answer. Engines are stand-ins.

--- a/lotusstream/copies/messages.py
+++ b/lotusstream/copies/messages.py
@@ -12,11 +12,13 @@
 class Held(IntEnum):
     SENT = 1  # a gateway was to send it: it may have run
     ANSWERED = 2
+    UNRUN = 3  # its gateway gave it up, and nothing had left
 
 
 class Holding(msgspec.Struct, frozen=True, array_like=True):
     """What is known of one key. `print`: of its statement; `gateway`: who sent it. `until`: microseconds of
-    the Unix clock, from when on it is as if never seen."""
+    the Unix clock, from when on it is as if never seen. `since`: from when on it may have run. `zone` and
+    `cell`: of the engines that drop its repeats, as far as that matters."""
 
     key: str
     print: str
@@ -24,6 +26,9 @@
     gateway: str
     until: int
     answer: bytes = b""
+    zone: str = ""
+    cell: int = -1
+    since: int = 0
 
 
 class Op(msgspec.Struct, frozen=True, array_like=True):
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -46,11 +46,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Before the first send: Promised, or Known where the key was seen before. `unix`: the time of day."""
+    """Before the first send: Promised, or Known where the key was seen before. `unix`: the time of day.
+    `after`: the owner whose claim, not answered yet, this one takes the place of."""
 
     ticket: int
     holding: Holding
     unix: int
+    after: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -189,8 +191,8 @@
                 self._learn(assigned)
             case LeaseFrom(sent):
                 self._until = max(self._until, sent + self._terms.leases.length - self._terms.leases.margin)
-            case Claim(ticket, holding, unix):
-                self._claim(ticket, holding, unix)
+            case Claim(ticket, holding, unix, after):
+                self._claim(ticket, holding, unix, after)
             case Finish(ticket, holding, unix):
                 self._finish(ticket, holding, unix)
             case Tick(unix):
@@ -328,25 +330,30 @@
         elif not self.leased:
             self._out.append(Unkept(ticket, "cut off from whoever decides on homes"))
         elif 1 + len(mine.backups) < self._terms.promise:
-            self._out.append(Unkept(ticket, "too few disks are left for a promise"))
+            self._out.append(Unkept(ticket, "too few disks are left for a promise", self.place.name))
         elif shard.waiting and self._now - shard.waiting[0][2] > self._terms.leases.length // 4:
-            self._out.append(Unkept(ticket, "its copies do not answer"))
+            self._out.append(Unkept(ticket, "its copies do not answer", self.place.name))
         elif shard.promised < shard.since or any(each not in shard.copied for each in mine.backups):
-            self._out.append(Unkept(ticket, "a copy is being filled"))
+            self._out.append(Unkept(ticket, "a copy is being filled", self.place.name))
         else:
             return shard
         return None
 
-    def _claim(self, ticket: int, wanted: Holding, unix: int) -> None:
+    def _claim(self, ticket: int, wanted: Holding, unix: int, after: str) -> None:
         if (shard := self._able(ticket, wanted.key)) is None:
             return
         known = shard.holdings.get(wanted.key)
         if known is None or unix >= known.until:
-            self._change(shard, ticket, wanted)
+            if wanted.state is Held.UNRUN:  # nothing is to be taken back
+                self._out.append(Promised(ticket))
+            else:
+                self._change(shard, ticket, wanted)
         elif known == wanted:  # its own claim, whose answer was lost
             self._again(shard, ticket, wanted.key)
         elif wanted.key in shard.open_keys:  # whoever asks may not hear of what could still be lost
-            self._out.append(Unkept(ticket, "the same key is being taken at this moment"))
+            self._out.append(Unkept(ticket, "the same key is being taken at this moment", self.place.name))
+        elif known.state is Held.UNRUN or (known.state is Held.SENT and after == known.gateway):
+            self._change(shard, ticket, wanted)
         else:
             self._out.append(Known(ticket, known))
 
@@ -359,7 +366,7 @@
         elif known == told:
             self._again(shard, ticket, told.key)
         elif told.key in shard.open_keys:
-            self._out.append(Unkept(ticket, "the same key is being answered at this moment"))
+            self._out.append(Unkept(ticket, "the same key is being answered at this moment", self.place.name))
         else:
             self._out.append(Known(ticket, known))  # the first answer stands
 
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -276,6 +276,17 @@
     command: int
 
 
+@dataclass(frozen=True, slots=True)
+class RanElsewhere:
+    """Another gateway may have run the command, there and since then: as an earlier send of this one. `zone`
+    and `cell` are -1 where it does not matter or isn't known here."""
+
+    command: int
+    zone: int
+    cell: int
+    at: int
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What does the module believe? Changes nothing; answered by Believed."""
@@ -308,6 +319,7 @@
     | Confined
     | Rehomed
     | Dropped
+    | RanElsewhere
     | Asked
     | Settled
 )
--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -20,6 +20,7 @@
 from lotusstream.lab.fleet.process import CLOCK, OK, WITNESS
 from lotusstream.lab.fleet.relay import Manner, Relay
 from lotusstream.lab.fleet.witness import Witness
+from lotusstream.lab.parties import CountingEngine, Effects, StandInBoard, StandInClient
 from lotusstream.protocol import control as wire
 
 READY_WITHIN = 20.0  # seconds
@@ -30,11 +31,22 @@
     """A process did not do what it was started for; its last lines are told."""
 
 
+ZONES = ("east", "west")
+DROPPED = frozenset({"load"})  # the profiles whose repeats engines of one zone drop
+
+
+def _profile(name: str, effect: str) -> dict[str, Any]:
+    return {
+        "name": name, "aim": 2_000_000, "deadline": 6_000_000, "effect": effect, "gain": 1.0, "group": "zone",
+        "window": 15_000_000,
+    }  # fmt: skip
+
+
 def settings() -> dict[str, Any]:
-    """A small deployment: enough for a gateway to start."""
+    """A small deployment: enough for a gateway to start and to serve commands of each kind."""
     return {
         "flavors": ["std"],
-        "zones": ["here"],
+        "zones": list(ZONES),
         "n_instances": 1,
         "period": 1000,
         "not known": [],
@@ -57,21 +69,15 @@
         },
         "specifics": {
             "cpu_of_kind": [8],
-            "threads_by_class": [1],
-            "writes_tables": [False],
-            "class_waits": [True],
+            "threads_by_class": [1, 2, 2],
+            "writes_tables": [False, True, True],
+            "class_waits": [True, False, False],
             "ranks_heeded": True,
         },
         "request_classes": [
-            {
-                "name": "lookup",
-                "aim": 2_000_000,
-                "deadline": 6_000_000,
-                "effect": "repeatable",
-                "gain": 1.0,
-                "group": "all",
-                "window": 15_000_000,
-            }
+            _profile("lookup", "repeatable"),
+            _profile("load", "by_key"),
+            _profile("booking", "once"),
         ],
     }
 
@@ -98,6 +104,7 @@
         self._reading: asyncio.Task[None] | None = None
         self._ready = asyncio.Event()
         self.stopped = False
+        self.port = 0  # for clients, once it listens
         self.set_clock(1.0, 0)
         self.set_disk(OK)
 
@@ -122,8 +129,8 @@
             "listen": "127.0.0.1:0",
             "seed": f"{rig.seed * 1000 + int(self.name[1:]):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "board": f"127.0.0.1:{rig.board}",
-            "known": {"rev": 0, "notices": []},
+            "board": f"127.0.0.1:{rig.board.port or rig.nobody}",
+            "known": rig.board.known(),
             "settings": settings(),
         }
         lines = [f'control "{self.socket}"', "log json info", "fleet", f"  group {rig.group}"]
@@ -177,6 +184,7 @@
             del self.lines[:-LATEST]
             self.fleet.heard(self.name, text)
             if '"listening"' in text:
+                self.port = int(json.loads(text)["address"].rpartition(":")[2])
                 self._ready.set()
         self._ready.set()
 
@@ -209,6 +217,9 @@
     def wipe(self) -> None:
         shutil.rmtree(self.store, ignore_errors=True)
 
+    async def client(self) -> StandInClient:
+        return await StandInClient().connect(self.port)
+
     def copy_disk(self) -> Path:
         kept = self.folder / f"older-{time.monotonic_ns()}"
         shutil.copytree(self.store, kept)
@@ -239,9 +250,11 @@
     def __init__(
         self, gateways: int = 3, keepers: int = 3, *, seed: int = 1, tasks: tuple[str, ...] = (WITNESS,),
         directives: tuple[str, ...] = ("heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%"),
-        more: tuple[str, ...] = (), holders: bool = False, tell: Callable[[str], None] | None = None,
+        more: tuple[str, ...] = (), holders: bool = False, engines: int = 0,
+        tell: Callable[[str], None] | None = None,
     ) -> None:  # fmt: skip
-        """`tell`: gets the story, a line at a time."""
+        """`engines`: stand-ins for them, in zones one after the other. `tell`: gets the story, a line at a
+        time."""
         self.seed, self.tasks, self.directives, self.more = seed, tasks, directives, more
         self.names = [f"g{at}" for at in range(1, gateways + 1)]
         self.keepers = self.names[:keepers]
@@ -252,7 +265,10 @@
         self.relays: dict[tuple[str, str], Relay] = {}
         self.ports: dict[str, int] = {}
         self.witness = Witness()
-        self.board = 0
+        self.board, self.nobody, self.effects = StandInBoard(), 0, Effects()
+        self.engines = [
+            CountingEngine(f"e-{at}", ZONES[at % len(ZONES)], self.effects, DROPPED) for at in range(engines)
+        ]
         self.story: list[str] = []
         self.leader = ""
         self._leads = asyncio.Event()
@@ -279,7 +295,11 @@
         self.folder = Path(tempfile.mkdtemp(prefix="lotusstream-rig-"))
         try:
             await self.witness.start()
-            self.board = free_port()
+            self.nobody = free_port()
+            if self.engines:
+                for party in (self.board, *self.engines):
+                    await party.start()
+                self.board.tell(*(engine.entry() for engine in self.engines), whole=True)
             serving = self.holders or self.keepers
             self.ports = {name: free_port() for name in serving}
             for source in self.names:
@@ -300,6 +320,8 @@
         await asyncio.gather(*(gateway.kill() for gateway in self.gateways.values()), return_exceptions=True)
         for relay in self.relays.values():
             relay.stop()
+        for party in (self.board, *self.engines):
+            party.die()
         self.witness.stop()
         await asyncio.to_thread(shutil.rmtree, self.folder, ignore_errors=True)
 
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -20,7 +20,7 @@
 from lotusstream.copies.manager import CopyTerms, Manager
 from lotusstream.copies.messages import Assigned
 from lotusstream.copies.replica import Replicas, read_back
-from lotusstream.copies.shards import Holder, Place
+from lotusstream.copies.shards import Holder, Place, shard_of
 from lotusstream.net import clock, keeper
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.connection import US
@@ -125,7 +125,7 @@
         self._saves: list[rp.Save] = []
         self._saving = False
         self._failed = ""
-        self._tickets: dict[int, tuple[int, Callable[[wire.AnyFrame], None]]] = {}
+        self._tickets: dict[int, tuple[wire.Keep, Callable[[wire.AnyFrame], None]]] = {}
         self._ticket = 0
         self._beats: dict[int, int] = {}
         self._beat, self._answered = 0, 0
@@ -170,9 +170,12 @@
         match message:
             case _Asked(frame, answer):
                 self._ticket += 1
-                self._tickets[self._ticket] = (frame.number, answer)
-                kind = rp.Finish if frame.finish else rp.Claim
-                self._take(kind(self._ticket, frame.holding, time.time_ns() // 1000))
+                self._tickets[self._ticket] = (frame, answer)
+                unix = time.time_ns() // 1000
+                if frame.finish:
+                    self._take(rp.Finish(self._ticket, frame.holding, unix))
+                else:
+                    self._take(rp.Claim(self._ticket, frame.holding, unix, frame.after))
             case _Beaten(frame):
                 sent = self._beats.get(frame.number)
                 if sent is not None:
@@ -203,8 +206,11 @@
 
     def _answer(self, ticket: int, what: str, holding: Any, why: str = "", home: str = "") -> None:
         if (found := self._tickets.pop(ticket, None)) is not None:
-            number, answer = found
-            answer(wire.Kept(number, what, holding, why, home))
+            asked, answer = found
+            if what == "unkept" and not home:  # as this holder last heard
+                place = self.homes.get(shard_of(asked.holding.key, self._terms.shards))
+                home = place.name if place is not None and place != self.holder.place else ""
+            answer(wire.Kept(asked.number, what, holding, why, home))
 
     async def _save(self) -> None:
         """All that has come meanwhile, by one sync."""
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -31,6 +31,9 @@
     sends: list[EngineActor | None] = field(default_factory=list)
     out: set[int] = field(default_factory=set)
     priority: int | None = None
+    behind: bool = False  # what it does is promised first
+    ran: bool = False  # a send that has ended may have run
+    answering: bool = False  # its answer is being held for repeats
 
 
 class Ring:
@@ -80,6 +83,64 @@
     answer: asyncio.Future[View]
 
 
+@dataclass(frozen=True, slots=True)
+class Departs:
+    """A send that leaves once that is promised."""
+
+    start: StartSend
+    actor: EngineActor
+    engine: api.Engine
+    taken: TakenCommand
+
+
+@dataclass(frozen=True, slots=True)
+class Passing:
+    """What follows a send on its way."""
+
+    actor: EngineActor
+    message: CancelSend | SetPriority
+
+
+@dataclass(frozen=True, slots=True)
+class Answering:
+    """An engine has answered; Ready follows. `given`: the time that the client gave, microseconds."""
+
+    command: int
+    rows: bytes
+    ends_by: int
+    given: int
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """No answer is owed any more. `ran`: a send that has ended may have run. `out`: sends that have not."""
+
+    command: int
+    ran: bool
+    out: frozenset[int]
+    given: int
+
+
+GateMessage = Departs | Passing | Answering | Closed
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """What the client gets; no rows: failed, and why."""
+
+    command: int
+    rows: bytes | None
+    why: str
+
+
+class Gate(Protocol):
+    """Stands between the decider and engines, for commands that something is promised about."""
+
+    def covers(self, profile: int, mark: str | None) -> bool: ...
+
+    def post(self, message: GateMessage) -> None: ...
+
+
 class Module(Protocol):
     def handle(self, now: int, event: Any) -> list[api.Action]: ...
 
@@ -96,6 +157,7 @@
     | Tell
     | Nudge
     | Describe
+    | Ready
 )
 
 
@@ -112,6 +174,7 @@
         """`beside`: what is put beside each new module."""
         super().__init__("decider", supervisor)
         self._beside = beside
+        self.gate: Gate | None = None
         self._most_bytes, self._bytes = statement_bytes, 0
         self._deployment, self._budget, self._clock = deployment, budget, clock
         allowed = replace(deployment.started.allowed, probes=False, grants=False, must_subscribe=False)
@@ -182,6 +245,8 @@
                 return cast("api.Event", event)
             case Describe(answer):
                 self._describe(answer)
+            case Ready():
+                return self._hand_out(message)
         return None
 
     def _take(self, taken: TakenCommand) -> api.Event | None:
@@ -200,6 +265,7 @@
             return None
         self._ids += 1
         held = self._held[self._ids] = self._by_taken[taken] = Held(self._ids, taken)
+        held.behind = self.gate is not None and self.gate.covers(taken.fields.profile, taken.fields.mark)
         self._calls.add(taken.fields.call)
         self._bytes += len(taken.statement)
         fields, left = taken.fields, max(0, taken.ends_by - self._now)
@@ -237,10 +303,10 @@
             return None
         held.out.discard(told.number)
         self.supervisor.counters.add(f"sends {told.outcome.name.lower()}")
+        held.ran = held.ran or told.outcome not in api.PROVES_NOT_RUN
         if told.outcome is Outcome.ANSWERED and held.open:
-            frame = front.encode_answer("process", held.taken.seqid, told.rows or b"", True)
-            self._answer(held, frame, "answered")
-        over = not held.open
+            self._answered(held, told.rows or b"")
+        over = not held.open or held.answering
         self._forget(held)
         return api.Ended(
             command=told.command,
@@ -255,6 +321,26 @@
             heard=told.heard,
         )
 
+    def _answered(self, held: Held, rows: bytes) -> None:
+        if self.gate is None or not held.behind:
+            frame = front.encode_answer("process", held.taken.seqid, rows, True)
+            self._answer(held, frame, "answered")
+        elif not held.answering:
+            held.answering, taken = True, held.taken
+            self.gate.post(Answering(held.id, rows, taken.ends_by, taken.fields.time_left))
+
+    def _hand_out(self, ready: Ready) -> api.Event | None:
+        """The answer is held, or one that was held before."""
+        if (held := self._owed(ready.command)) is None:
+            return None
+        seqid = held.taken.seqid
+        if ready.rows is None:
+            self._answer(held, front.encode_failure(seqid, ready.why), "failed")
+        else:
+            self.supervisor.counters.add("answers told again", 0 if held.answering else 1)
+            self._answer(held, front.encode_answer("process", seqid, ready.rows, True), "answered")
+        return api.ClientGone(held.id)
+
     def _list(self, notice: notices.Notice) -> api.Event:
         if notice.whole:
             named = {listed.engine.id for listed in notice.listed}
@@ -355,7 +441,7 @@
 
     def _begin_anew(self) -> list[api.Action]:
         """What it was about is unknown: every open command fails, and a new module starts from nothing."""
-        for held in list(self._by_taken.values()):
+        for held in [held for held in self._by_taken.values() if not held.answering]:
             self._answer(held, front.encode_failure(held.taken.seqid, "internal error"), "failed")
         for held in list(self._held.values()):
             for number in held.out:
@@ -414,29 +500,37 @@
         ends_at = min(self._now + action.time_out, taken.ends_by) if action.time_out else taken.ends_by
         profile = self._deployment.profiles[taken.fields.profile]
         self.supervisor.counters.add(f"sent {profile}")
-        actor.post(
-            StartSend(
-                command=held.id,
-                number=number,
-                at=self._now,
-                ends_at=ends_at,
-                call=taken.fields.call,
-                profile=profile,
-                statement=taken.statement,
-                mark=taken.fields.mark,
-                priority=held.priority,
-            )
+        start = StartSend(
+            command=held.id,
+            number=number,
+            at=self._now,
+            ends_at=ends_at,
+            call=taken.fields.call,
+            profile=profile,
+            statement=taken.statement,
+            mark=taken.fields.mark,
+            priority=held.priority,
         )
+        if self.gate is not None and held.behind:
+            self.gate.post(Departs(start, actor, self._entries[action.engine], taken))
+        else:
+            actor.post(start)
+
+    def _pass(self, held: Held, actor: EngineActor, message: CancelSend | SetPriority) -> None:
+        if self.gate is not None and held.behind:
+            self.gate.post(Passing(actor, message))
+        else:
+            actor.post(message)
 
     def _cancel(self, held: Held, number: int) -> None:
         if number in held.out and (actor := held.sends[number]) is not None:
-            actor.post(CancelSend(held.id, number))
+            self._pass(held, actor, CancelSend(held.id, number))
 
     def _set_priority(self, held: Held, priority: int) -> None:
         held.priority = priority
         for number in held.out:
             if (actor := held.sends[number]) is not None:
-                actor.post(SetPriority(held.id, number, priority))
+                self._pass(held, actor, SetPriority(held.id, number, priority))
 
     # Endings
 
@@ -448,6 +542,8 @@
 
     def _close(self, held: Held) -> None:
         held.open = False
+        if self.gate is not None and held.behind:
+            self.gate.post(Closed(held.id, held.ran, frozenset(held.out), held.taken.fields.time_left))
         self._bytes -= len(held.taken.statement)
         held.taken.statement = b""
         self._by_taken.pop(held.taken, None)
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -7,11 +7,13 @@
 import uuid
 from typing import TYPE_CHECKING, Any
 
+from lotusstream.deployment import Deployment
 from lotusstream.leases import holder as hold
 from lotusstream.leases.desk import FREED, Asked, Changed, LookedUp
 from lotusstream.leases.table import Put, TakeBack
 from lotusstream.net import clock
 from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.clock import Clock
 from lotusstream.net.connection import US
 from lotusstream.net.control import Refused
 from lotusstream.net.decider import Decider
@@ -26,6 +28,7 @@
 
 if TYPE_CHECKING:
     from lotusstream.net.copies import CopiesActor, ManagerTask
+    from lotusstream.net.promises import Promises
 
 ANSWER_WITHIN = 3.0  # seconds, of an operator's question
 
@@ -98,9 +101,11 @@
 
 class Fleet:
     def __init__(
-        self, told: FleetText, name: str, seed: int, decider: Decider, supervisor: Supervisor
-    ) -> None:
+        self, told: FleetText, name: str, deployment: Deployment, decider: Decider, clock: Clock,
+        supervisor: Supervisor,
+    ) -> None:  # fmt: skip
         """Raises LogTrouble where this keeper's log can't be trusted."""
+        seed = deployment.started.seed
         self._told, self._name, self._supervisor = told, name, supervisor
         self._asked: dict[int, asyncio.Future[wire.Told]] = {}
         self._number = 0
@@ -141,6 +146,12 @@
             self.copies = CopiesActor(
                 name, machine, zone, told.copies, told.store, self._tell, self._look, supervisor
             )
+        self.promises: Promises | None = None
+        if told.remember is not None:
+            from lotusstream.net.promises import Promises
+
+            self.promises = Promises(name, told, deployment, decider, clock, self._tell, supervisor)
+            decider.gate = self.promises
         self.holder = HolderActor(name, told, seed, self._ask, self._agree, makers, decider, supervisor)
 
     def start(self) -> None:
@@ -154,6 +165,8 @@
         self.holder.start()
         if self.copies is not None:
             self.copies.start()
+        if self.promises is not None:
+            self.promises.start()
 
     def leave(self) -> None:
         """A planned stop: leases are released and leadership is handed over, as far as that goes at once."""
@@ -201,6 +214,12 @@
     def _told_by(self, frame: wire.AnyFrame, _sender: str, _answer: Answer) -> None:
         if isinstance(frame, wire.Told):
             self._take(frame)
+        elif isinstance(frame, wire.Kept):
+            self._kept(frame)
+
+    def _kept(self, frame: wire.AnyFrame) -> None:
+        if self.promises is not None and isinstance(frame, wire.Kept):
+            self.promises.post(frame)
 
     # Copies
 
@@ -213,7 +232,7 @@
 
     def _tell(self, name: str, frame: wire.AnyFrame) -> None:
         if name == self._name:
-            self._heard(frame, name, lambda _: None)
+            self._heard(frame, name, self._kept)
         elif (link := self.links.get(name)) is not None:
             link.put(frame)
 
--- a/lotusstream/net/parts.py
+++ b/lotusstream/net/parts.py
@@ -161,8 +161,8 @@
         given, told = self.around.given, self.around.file.fleet
         assert told is not None
         try:
-            seed = given.deployment.started.seed
-            self.fleet = Fleet(told, given.name, seed, decider, self.around.supervisor)
+            clock, supervisor = self.around.clock, self.around.supervisor
+            self.fleet = Fleet(told, given.name, given.deployment, decider, clock, supervisor)
             self.anew(self.around.file)
             self._leave_moves_to_others(decider)
         except LogTrouble as error:
--- /dev/null
+++ b/lotusstream/net/promises.py
@@ -0,0 +1,141 @@
+"""Between the decider and the engines, for commands with a mark: a send leaves once its key is claimed at the
+home of its shard, an answer once it is held there. Imported only where the operator file has `remember`."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from hashlib import blake2b
+
+from lotusstream import interface as api
+from lotusstream.copies import claims as cl
+from lotusstream.copies.shards import Holder, Place
+from lotusstream.deployment import Deployment
+from lotusstream.interface import Effect, Outcome, Scope
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.clock import Clock
+from lotusstream.net.connection import US
+from lotusstream.net.decider import Answering, Closed, Decider, Departs, GateMessage, Passing, Ready, Tell
+from lotusstream.net.engine import CancelSend, EngineActor, SendEnded, SetPriority, StartSend
+from lotusstream.operator.fleet import FleetText
+from lotusstream.protocol import peers as wire
+
+PART = 4  # of a command's time that a claim may take; and of a peer's patience, for one answer
+SLACK = 50  # part of the time that a client gave, kept free before its end
+NOWHERE = -1
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    """Time alone may change something."""
+
+
+class Promises(Actor[GateMessage | wire.Kept | _Tick]):
+    """Drives `Claims`; what it says reaches the decision module as events."""
+
+    def __init__(
+        self, name: str, told: FleetText, deployment: Deployment, decider: Decider, clock: Clock,
+        tell: Callable[[str, wire.AnyFrame], None], supervisor: Supervisor,
+    ) -> None:  # fmt: skip
+        super().__init__("promises", supervisor)
+        assert told.copies is not None and told.remember is not None
+        self._deployment, self._remember = deployment, told.remember
+        self._decider, self._clock, self._tell = decider, clock, tell
+        holders = [Holder(Place(each.name, ""), each.machine, each.zone) for each in told.holders]
+        patience = told.patience // PART
+        terms = cl.ClaimTerms(told.copies.shards, told.copies.copies, patience, patience // 8)
+        self.claims = cl.Claims(f"{name}.{uuid.uuid4().hex[:12]}", holders, terms)
+        self._waiting: dict[tuple[int, int], tuple[StartSend, EngineActor]] = {}
+        self._armed: tuple[int, asyncio.TimerHandle] | None = None
+
+    def covers(self, profile: int, mark: str | None) -> bool:
+        """Whether a repeat could be told, and would do harm."""
+        effect = self._deployment.started.profiles[profile].effect
+        return mark is not None and effect is not Effect.REPLAYABLE
+
+    async def receive(self, message: GateMessage | wire.Kept | _Tick) -> None:
+        match message:
+            case Departs():
+                self._departs(message)
+            case Passing(actor, CancelSend(command, number)) if (command, number) in self._waiting:
+                self._take(cl.Stays(command, number))
+            case Passing(actor, SetPriority(command, number, priority)) if (command, number) in self._waiting:
+                start = self._waiting[command, number][0]
+                self._waiting[command, number] = (replace(start, priority=priority), actor)
+            case Passing(actor, told):
+                actor.post(told)
+            case Answering(command, rows, ends_by, given):
+                now = self._clock.now()
+                by = max(ends_by - given // SLACK, (now + ends_by) // 2)
+                self._take(cl.Answered(command, rows, by))
+            case Closed(command, ran, out, given):
+                self._take(cl.Over(command, ran, out, self._clock.now() + given))
+            case wire.Kept(number, what, holding, why, home):
+                self._take(cl.Heard(number, what, holding, why, home))
+            case _Tick():
+                self._take(cl.Tick())
+
+    def _departs(self, message: Departs) -> None:
+        start, taken, engine = message.start, message.taken, message.engine
+        profile = self._deployment.started.profiles[taken.fields.profile]
+        now, mark = self._clock.now(), taken.fields.mark
+        assert mark is not None
+        zones = self._deployment.zones
+        zone = zones[engine.zone] if profile.scope is Scope.ZONE and engine.zone < len(zones) else ""
+        cell = engine.cell if profile.scope is Scope.CELL else NOWHERE
+        self._waiting[start.command, start.number] = (start, message.actor)
+        said = start.profile.encode() + b"\0" + start.statement
+        until = now + max(self._remember, profile.remembered_for)
+        by = now + (taken.ends_by - now) // PART
+        again = profile.effect is Effect.UNIQUED
+        self._take(
+            cl.Leaves(
+                start.command, start.number, mark, blake2b(said, digest_size=16).hexdigest(), zone, cell,
+                now, until, by, again,
+            )
+        )  # fmt: skip
+
+    def _take(self, event: cl.Event) -> None:
+        counters, post = self.supervisor.counters, self._decider.post
+        for action in self.claims.handle(self._clock.now(), event):
+            match action:
+                case cl.Ask(holder, number, finish, holding, after):
+                    self._tell(holder, wire.Keep(number, finish, holding, after))
+                case cl.LetGo(command, send):
+                    start, actor = self._waiting.pop((command, send))
+                    counters.add("sends promised")
+                    counters.peak("wait for a promise, us", self._clock.now() - start.at)
+                    actor.post(replace(start, at=self._clock.now()))
+                case cl.Back(command, send):
+                    _, actor = self._waiting.pop((command, send))
+                    post(SendEnded(command, send, actor.engine, Outcome.MOOT, 0))
+                case cl.Recall(command, zone, cell, since):
+                    counters.add("commands that may have run elsewhere")
+                    zones = self._deployment.zones
+                    at = zones.index(zone) if zone in zones else NOWHERE
+                    post(Tell(api.RanElsewhere(command, at, cell, since)))
+                case cl.Refuse(command, why):
+                    counters.add("commands that nothing can be promised for")
+                    self.supervisor.log.say("promises", f"given up: {why}", reason=why)
+                    post(Tell(api.Dropped(command)))
+                case cl.Give(command, answer):
+                    post(Ready(command, answer, ""))
+                case cl.Withhold(command, why):
+                    counters.add("answers withheld")
+                    post(Ready(command, None, why))
+        self._arm()
+
+    def _arm(self) -> None:
+        at = self.claims.next_at
+        if at is None or (self._armed is not None and self._armed[0] <= at):
+            return
+        if self._armed is not None:
+            self._armed[1].cancel()
+        delay = max(0, at - self._clock.now()) / US
+        self._armed = (at, asyncio.get_running_loop().call_later(delay, self._ring))
+
+    def _ring(self) -> None:
+        self._armed = None
+        self.post(_Tick())
--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -54,6 +54,7 @@
     tasks: tuple[str, ...]
     holders: tuple[HolderAddress, ...] = ()
     copies: CopyTerms | None = None
+    remember: int | None = None  # how long a command with a mark is known to all gateways
 
     def descriptors(self, name: str) -> int:
         """How many the gateway of this name needs for it at most."""
@@ -100,6 +101,8 @@
                   (Argument("a number", number(1, 512)),)),
         Directive("repairs", "how many shards are copied anew at a time",
                   (Argument("a number", number(1, 512)),)),
+        Directive("remember", "how long answers of commands with a mark are held for their repeats",
+                  (Argument("a time", time),)),
         Directive("store", "the folder of this keeper's log", (Argument("a path", path),)),
         Directive("listen", "where this keeper takes peers, if not at its own address above",
                   (Argument("an address", address),)),
@@ -143,6 +146,7 @@
             for host, port in (told["an address"],)
         ),
         _copies(block, LeaseTerms(length, margin, drift)),
+        block.value("remember", "a time"),
     )
     return found, list(_wrong(file, block, found))
 
@@ -182,6 +186,10 @@
         if len(machines) < told.copies.copies:
             what = f"{told.copies.copies} copies on holders of {len(machines)} machines"
             yield wrong("copies", what, "name holders on as many machines: no two copies share one")
+    elif told.remember is not None:
+        yield wrong(
+            "remember", "nothing is held without 'copies'", "copies 3 promise 2, and holders, would do"
+        )
     elif told.holders or COPIES in told.tasks:
         yield wrong("holder", "holders without 'copies'", "say on how many disks: copies 3 promise 2")
     pace, terms = told.pace, told.leases
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -79,7 +79,7 @@
             api.Ended: self._end_try, api.Noted: self._note, api.Probed: self._probed, api.Woken: self._woken,
             api.ClientGone: self._client_gone, api.Stopping: self._stop, api.Settled: self._settle,
             api.Reduced: self._reduce, api.Asked: self._tell_beliefs, api.Confined: self._confine,
-            api.Rehomed: self._rehome, api.Dropped: self._drop,
+            api.Rehomed: self._rehome, api.Dropped: self._drop, api.RanElsewhere: self._recall,
         }  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -161,6 +161,10 @@
         if cmd := self.open.get(event.command):
             self._give_up(cmd)
 
+    def _recall(self, event: api.RanElsewhere) -> None:
+        if cmd := self.open.get(event.command):
+            cmd.earlier.append(event)
+
     def _regroup(self) -> None:
         for pool in self.pools.values():
             pool.ready, pool.out = [], 0
@@ -375,7 +379,7 @@
         if not profile.open_to(entry) or (cmd.tries and (be.credit < 1 or not self._may_send_again(cmd))):
             return False
         if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
-            zone, cell = ran[0].be.entry.zone == entry.zone, ran[0].be.entry.cell == entry.cell
+            zone, cell = ran[0].zone == entry.zone, ran[0].cell == entry.cell
             if not {api.Scope.ZONE: zone, api.Scope.CELL: cell}.get(profile.scope, True):
                 return False
         return not self._cold(be) or self._bears(be, cmd.weight)
@@ -414,10 +418,6 @@
                     for cmd, _ in near.out.values() if cmd.profile.threads >= threads)  # fmt: skip
         return alike + threads <= max(pool.room + pool.out if thin else be.slice, threads)
 
-    def _gauge(self) -> None:
-        for pool in self.pools.values():
-            self._gauge_pool(pool)
-
     def _gauge_pool(self, pool: Pool) -> None:
         """Each engine's pace and pressure. Few answers of an engine weigh less than those of all."""
         pool.calm = max(1.0, math.exp(pool.paces.latest(self.now, 0.0, ENOUGH / 8, ENOUGH)))
@@ -531,10 +531,9 @@
     def _release(self) -> None:
         """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
         ready = deque(sorted(filter(self._has_turn, self.waiting.values()), key=lambda cmd: cmd.due))
-        self._gauge()
-        stuck: set[tuple[int, int | None]] = (
-            set()
-        )  # profiles with no place left; within a release none comes free
+        for pool in self.pools.values():
+            self._gauge_pool(pool)
+        stuck = set[tuple[int, int | None]]()  # profiles with no place left; within a release none comes free
         while ready:
             roomy = [be for be in self.ready if be.aside_until is None or
                      (not be.out and self.now >= be.aside_until)]  # fmt: skip
--- a/lotusstream/protocol/peers.py
+++ b/lotusstream/protocol/peers.py
@@ -102,11 +102,13 @@
 
 
 class Keep(Frame, frozen=True, tag="keep"):
-    """Asks a home to hold something, before it is sent or (`finish`) answered."""
+    """Asks a home to hold something, before it is sent or (`finish`) answered. `after`: the owner whose claim
+    it takes the place of."""
 
     number: int
     finish: bool
     holding: Holding
+    after: str = ""
 
 
 class Kept(Frame, frozen=True, tag="kept"):
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -25,6 +25,14 @@
     outcome: api.Outcome | None = None
     doomed: bool = False  # cancelled by this gateway
 
+    @property
+    def zone(self) -> int:
+        return self.be.entry.zone
+
+    @property
+    def cell(self) -> int:
+        return self.be.entry.cell
+
 
 @dataclass(slots=True, eq=False)
 class Command:
@@ -43,6 +51,7 @@
     cell: int | None = None
     tries: list[Try] = field(default_factory=list)
     overlong: int = 0  # sends given up as bad plans
+    earlier: list[api.RanElsewhere] = field(default_factory=list)  # by other gateways
 
     @property
     def out(self) -> list[Try]:
@@ -59,9 +68,9 @@
         return {a_try.be for a_try in self.tries if a_try.doomed} | self.erred
 
     @property
-    def ran(self) -> list[Try]:
+    def ran(self) -> list[Try | api.RanElsewhere]:
         """The sends that may have run."""
-        return [a_try for a_try in self.tries if a_try.outcome not in api.PROVES_NOT_RUN]
+        return [*self.earlier, *[each for each in self.tries if each.outcome not in api.PROVES_NOT_RUN]]
 
 
 class Pool:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,34 +3,39 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import itertools
 import json
 import math
 import re
 import signal
-import struct
 import sys
-from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, replace
+from collections.abc import AsyncIterator
+from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
 import pytest
 from hypothesis import settings as hypothesis_settings
-from thrift.protocol.TBinaryProtocol import TBinaryProtocol
-from thrift.Thrift import TMessageType, TType
-from thrift.transport.TTransport import TMemoryBuffer
 
 from lotusstream import interface as api
+from lotusstream.lab.parties import (
+    CALLS,
+    LIMIT,
+    Call,
+    Failed,
+    HttpStandIn,
+    Line,
+    StandInBoard,
+    StandInClient,
+    StandInEngine,
+    http_answer,
+)
 from lotusstream.policy import Gateway
 
+__all__ = ["CALLS", "LIMIT", "Call", "Failed", "HttpStandIn", "StandInClient", "http_answer"]
+
 hypothesis_settings.register_profile("same", derandomize=True, deadline=None, database=None)
 hypothesis_settings.load_profile("same")  # the same verdict always
 
 MS, S = 1_000, 1_000_000
-LIMIT = 20  # seconds, for whatever is waited for
-CALLS = itertools.count(1)
 
 LOOKUP = api.Profile(S, 0.0, 6 * S, 1.0, 0.1, api.Effect.REPLAYABLE, api.Scope.ALL, 0,
                      False, None, None, False, True, 1)  # fmt: skip
@@ -103,250 +108,6 @@
     return made
 
 
-# Stand-ins for the parties on sockets, written from the protocol page
-
-
-class Line:
-    """What has happened, to be waited for."""
-
-    def __init__(self) -> None:
-        self.items: list[Any] = []
-        self._came = asyncio.Event()
-
-    def add(self, item: Any) -> None:
-        self.items.append(item)
-        self._came.set()
-
-    async def until(self, wanted: Callable[[Any], bool], count: int = 1) -> Any:
-        async with asyncio.timeout(LIMIT):
-            while len(found := [item for item in self.items if wanted(item)]) < count:
-                self._came.clear()
-                await self._came.wait()
-        return found[count - 1]
-
-
-@dataclass(frozen=True)
-class Call:
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-
-
-class HttpStandIn:
-    """Answers each call by `respond`: bytes, or None to say nothing. `calls` holds all that has come."""
-
-    def __init__(self) -> None:
-        self.calls, self.port, self.connections = Line(), 0, 0
-        self._server: asyncio.Server | None = None
-        self._writers: list[asyncio.StreamWriter] = []
-
-    async def start(self, port: int = 0) -> None:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    def die(self) -> None:
-        """As a process does: connections are reset, new ones refused."""
-        if self._server is not None:
-            self._server.close()
-        for writer in self._writers:
-            writer.transport.abort()
-        self._writers.clear()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._writers.append(writer)
-        self.connections += 1
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                first, *lines = head.strip().split("\r\n")
-                headers = {name.lower(): value for name, _, value in (line.partition(": ") for line in lines)}
-                body = await reader.readexactly(int(headers.get("content-length", 0)))
-                method, path, _ = first.split(" ")
-                call = Call(method, path, headers, body)
-                self.calls.add(call)
-                answer = await self.respond(call)
-                if answer is not None:
-                    writer.write(answer)
-
-    async def respond(self, call: Call) -> bytes | None:
-        raise NotImplementedError
-
-
-def http_answer(status: int, body: bytes = b"", **headers: object) -> bytes:
-    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
-    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
-
-
-class StandInEngine(HttpStandIn):
-    def __init__(self, uid: str) -> None:
-        super().__init__()
-        self.uid, self.pages = uid, [b"a\tb\tc\n"]
-        self.acts = "answers"
-        self.raw = b""  # said in place of any answer, where acts is "raw"
-        self.once: dict[int, bytes] = {}  # said once in place of the answer that holds this page
-        self.held = set[str]()  # calls that stay open whatever it does
-
-    def posts(self, call: str | None = None) -> list[Call]:
-        found = [item for item in self.calls.items if item.method == "POST"]
-        return [item for item in found if call in (None, item.headers["x-txn"])]
-
-    async def respond(self, call: Call) -> bytes | None:
-        if call.method in ("DELETE", "PUT"):
-            return http_answer(204)
-        number = 0 if call.method == "POST" else int(call.path.rsplit("/", 1)[1])
-        if number in self.once:
-            return self.once.pop(number) or None
-        if number:
-            if self.acts == "loses pages":
-                return http_answer(500)
-            return http_answer(200, self.pages[number], Result_Page=number)
-        query = call.headers["x-txn"] if call.method == "POST" else call.path.split("/")[2]
-        match "holds" if query in self.held else self.acts:
-            case "holds":
-                await asyncio.sleep(0.25)  # as long as the page says
-                return http_answer(202)
-            case "is silent":
-                return None
-            case "dies":
-                self.die()
-                return None
-            case "is full":
-                return http_answer(503, X_Unrun=1)
-            case "fails":
-                return http_answer(500)
-            case "raw":
-                return self.raw
-        return http_answer(200, self.pages[0], Result_Pages=len(self.pages), Query_Cost=80, Query_Need=100)
-
-    def entry(self, state: str = "ready", boot_ms: int = 0) -> dict[str, object]:
-        return {"uid": self.uid, "endpoint": f"127.0.0.1:{self.port}", "az": "here", "model": "std",
-                "pod_group": 0, "state": state, "capacity_hint": 1, "boot_ms": boot_ms}  # fmt: skip
-
-
-class StandInBoard(HttpStandIn):
-    def __init__(self) -> None:
-        super().__init__()
-        self.notices: list[dict[str, object]] = []
-        self.raw: bytes | None = None  # said once in place of an answer; nothing at all if empty
-        self._changed = asyncio.Event()
-
-    def tell(self, *entries: dict[str, object], whole: bool = False) -> None:
-        pool = {"rev": len(self.notices), "all": whole, "targets": list(entries)}
-        self.notices.append({"rev": len(self.notices) + 1, "pool": pool})
-        self._changed.set()
-
-    def known(self) -> dict[str, object]:
-        return {"rev": len(self.notices), "notices": self.notices}
-
-    async def respond(self, call: Call) -> bytes | None:
-        if self.raw is not None:
-            raw, self.raw = self.raw, None
-            return raw or None
-        asked = dict(part.split("=") for part in call.path.partition("?")[2].split("&"))
-        if int(asked["watch"]) >= len(self.notices):
-            self._changed.clear()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self._changed.wait(), int(asked["linger"]) / 1000)
-        news = {"rev": len(self.notices), "notices": self.notices[int(asked["watch"]) :]}
-        return http_answer(200, json.dumps(news).encode())
-
-
-class Failed(Exception):
-    """`kind`: "shed", "failed" or "fault"."""
-
-    def __init__(self, kind: str, fields: dict[str, str]) -> None:
-        super().__init__(kind)
-        self.kind, self.fields = kind, fields
-
-
-class StandInClient:
-    def __init__(self) -> None:
-        self.seqid = 0
-        self.answers: dict[int, asyncio.Future[bytes]] = {}
-        self.closed = asyncio.Event()
-
-    async def connect(self, port: int) -> StandInClient:
-        self._reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
-        self._task = asyncio.create_task(self._read())
-        return self
-
-    async def _read(self) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            while True:
-                (length,) = struct.unpack("!i", await self._reader.readexactly(4))
-                frame = await self._reader.readexactly(length)
-                name_length = struct.unpack_from("!i", frame, 4)[0]
-                (seqid,) = struct.unpack_from("!i", frame, 8 + name_length)
-                self.answers.setdefault(seqid, asyncio.get_running_loop().create_future()).set_result(frame)
-        self.closed.set()
-
-    def message(self, method: str, kind: int, write: Callable[[TBinaryProtocol], None]) -> int:
-        self.seqid += 1
-        protocol = TBinaryProtocol(TMemoryBuffer())
-        protocol.writeMessageBegin(method, kind, self.seqid)
-        write(protocol)
-        protocol.writeFieldStop()
-        self.raw(protocol.trans.getvalue())
-        return self.seqid
-
-    def raw(self, frame: bytes) -> None:
-        self.writer.write(struct.pack("!i", len(frame)) + frame)
-
-    def ask(
-        self, profile: str = "lookup", statement: str | bytes = "SELECT a FROM sales_3.t", **fields: str
-    ) -> int:
-        mark = {"dedupe": "m" * 32} if profile == "load" else {}
-        call = f"{next(CALLS):016x}"
-        values = {"op": profile, "call": call, "ttl": "6000", "work": "20.0", "mem": "96"} | mark | fields
-        body = statement if isinstance(statement, bytes) else statement.encode()
-
-        def write(protocol: TBinaryProtocol) -> None:
-            protocol.writeFieldBegin("fields", TType.MAP, 1)
-            protocol.writeMapBegin(TType.STRING, TType.STRING, len(values))
-            for name, value in values.items():
-                protocol.writeString(name)
-                protocol.writeString(value)
-            protocol.writeFieldBegin("body", TType.STRING, 2)
-            protocol.writeBinary(body)
-
-        return self.message("process", TMessageType.CALL, write)
-
-    def give_up(self, seqid: int) -> None:
-        def write(protocol: TBinaryProtocol) -> None:
-            protocol.writeFieldBegin("seqid", TType.I32, 1)
-            protocol.writeI32(seqid)
-
-        self.message("giveUp", TMessageType.ONEWAY, write)
-
-    async def answer(self, seqid: int) -> tuple[bytes, bool]:
-        """The body and `good`; raises Failed for any other answer."""
-        future = self.answers.setdefault(seqid, asyncio.get_running_loop().create_future())
-        async with asyncio.timeout(LIMIT):
-            protocol = TBinaryProtocol(TMemoryBuffer(await future), strictRead=True)
-        _, kind, _ = protocol.readMessageBegin()
-        if kind == TMessageType.EXCEPTION:
-            raise Failed("fault", {})
-        _, _, number = protocol.readFieldBegin()
-        values: dict[int, Any] = {}
-        while (field := protocol.readFieldBegin())[1] != TType.STOP:
-            match field[1]:
-                case TType.STRING:
-                    values[field[2]] = protocol.readBinary()
-                case TType.BOOL:
-                    values[field[2]] = protocol.readBool()
-                case TType.MAP:
-                    size = protocol.readMapBegin()[2]
-                    values[field[2]] = {protocol.readString(): protocol.readString() for _ in range(size)}
-        if number:
-            raise Failed({1: "shed", 2: "failed"}[number], values[1])
-        return values[1], values[3]
-
-    async def probe(self) -> bool:
-        return (await self.answer(self.message("probe", TMessageType.CALL, lambda _: None)))[1]
-
-
 def settings() -> dict[str, object]:
     def profile(name: str, effect: str) -> dict[str, object]:
         return {"name": name, "aim": 2 * S, "deadline": 6 * S, "effect": effect, "gain": 1.0, "group": "all",
--- /dev/null
+++ b/tests/fleet/test_promises_on_processes.py
@@ -0,0 +1,190 @@
+"""Stories of commands whose gateway is lost with its disk: no effect twice, and repeats get the answer."""
+
+import asyncio
+import contextlib
+import itertools
+import signal
+
+import pytest
+
+from lotusstream.lab.fleet.rig import FleetRig
+from lotusstream.lab.parties import Failed
+from lotusstream.protocol import control as wire
+
+DIRECTIVES = (
+    "heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%", "copies 3 promise 2", "shards 4",
+    "remember 10m",
+)  # fmt: skip
+MARKS = itertools.count(1)
+
+
+@pytest.fixture
+async def rig():
+    async with FleetRig(
+        5, 3, seed=78, tasks=("copies",), directives=DIRECTIVES, holders=True, engines=4
+    ) as made:
+        await whole(made)
+        yield made
+        broken = [line for each in made.gateways.values() for line in each.lines if "Traceback" in line]
+        assert not broken, broken[0]
+        assert not made.effects.second
+
+
+async def homes(rig):
+    rows = {}
+    for name, gateway in rig.gateways.items():
+        if gateway.up and not gateway.stopped:
+            with contextlib.suppress(OSError):
+                for row in (await gateway.ask(wire.Copies()))["shards"]:
+                    if row["home"] == name:
+                        rows[row["shard"]] = row
+    return rows
+
+
+async def whole(rig):
+    """Every shard has a home and two copies."""
+    async with asyncio.timeout(30):
+        while not (
+            len(rows := await homes(rig)) == 4 and all(len(row["copies"]) == 2 for row in rows.values())
+        ):
+            await asyncio.sleep(0.05)
+
+
+def mark():
+    return f"{next(MARKS):032x}"
+
+
+async def ask(rig, name, profile="load", **fields):
+    """The answer of this gateway, or the way it was refused."""
+    client = await rig.gateways[name].client()
+    try:
+        return (await client.answer(client.ask(profile, **fields)))[0]
+    except Failed as error:
+        return error.kind
+    finally:
+        client.close()
+
+
+async def answered(rig, names, profile="load", **fields):
+    """As a client does: again, elsewhere, until it is answered."""
+    async with asyncio.timeout(30):
+        for name in itertools.cycle(names):
+            if rig.gateways[name].up:
+                with contextlib.suppress(OSError):
+                    told = await ask(rig, name, profile, **fields)
+                    if isinstance(told, bytes):
+                        return told
+            await asyncio.sleep(0.1)
+
+
+async def lose(rig, name):
+    await rig.gateways[name].kill()
+    rig.gateways[name].wipe()
+
+
+async def test_an_answer_is_told_again_by_any_gateway_after_the_first_is_lost_with_its_disk(rig):
+    key = mark()
+    first = await answered(rig, ["g1"], dedupe=key)
+    await lose(rig, "g1")
+    for name in ("g2", "g3", "g4", "g5"):
+        assert await answered(rig, [name], dedupe=key) == first
+    assert rig.effects.of_mark[key] == 1
+
+
+async def test_a_gateway_lost_between_sending_and_answering_lets_the_repeat_go_only_where_it_is_dropped(rig):
+    """Engines of one zone alone tell the repeat."""
+    for engine in rig.engines:
+        engine.acts = "holds"
+    keys = [mark() for _ in range(4)]
+    client = await rig.gateways["g1"].client()
+    for key in keys:
+        client.ask("load", dedupe=key)
+    async with asyncio.timeout(20):
+        while sum(rig.effects.of_mark[key] for key in keys) < len(keys):
+            await asyncio.sleep(0.02)
+    await lose(rig, "g1")
+    client.close()
+    for engine in rig.engines:
+        engine.acts = "answers"
+    for key in keys:
+        told = await answered(rig, ["g2", "g3"], dedupe=key)
+        assert told.startswith(key.encode())
+        assert rig.effects.of_mark[key] == 1
+
+
+async def test_what_may_run_once_only_is_never_sent_again(rig):
+    for engine in rig.engines:
+        engine.acts = "holds"
+    key = mark()
+    client = await rig.gateways["g1"].client()
+    client.ask("booking", dedupe=key)
+    async with asyncio.timeout(20):
+        while not rig.effects.of_mark[key]:
+            await asyncio.sleep(0.02)
+    await lose(rig, "g1")
+    client.close()
+    for engine in rig.engines:
+        engine.acts = "answers"
+    async with asyncio.timeout(30):
+        while (told := await ask(rig, "g2", "booking", dedupe=key)) == "shed":  # its home is being replaced
+            await asyncio.sleep(0.1)
+    assert told == "failed"
+    assert rig.effects.of_mark[key] == 1
+
+
+async def test_a_command_that_nothing_was_sent_of_may_be_sent_by_another(rig):
+    """Full engines: it is given up, its claim is taken back, and nothing stands in the way of the next."""
+    for engine in rig.engines:
+        engine.acts = "is full"
+    key = mark()
+    assert await ask(rig, "g1", "booking", dedupe=key, ttl="600") == "shed"
+    for engine in rig.engines:
+        engine.acts = "answers"
+    assert (await answered(rig, ["g2"], "booking", dedupe=key)).startswith(key.encode())
+    assert rig.effects.of_mark[key] == 1
+
+
+async def test_a_mark_used_again_for_another_statement_is_turned_down(rig):
+    key = mark()
+    await answered(rig, ["g1"], dedupe=key)
+    assert await ask(rig, "g2", dedupe=key, statement="SELECT b FROM sales_3.t") == "failed"
+    assert rig.effects.of_mark[key] == 1
+
+
+async def test_without_holders_only_commands_that_need_a_promise_are_refused_and_at_once(rig):
+    for name in ("g2", "g3", "g4", "g5"):
+        rig.gateways[name].signal(signal.SIGSTOP)
+    key = mark()
+    began = asyncio.get_running_loop().time()
+    assert await ask(rig, "g1", dedupe=key) == "shed"
+    assert asyncio.get_running_loop().time() - began < 4  # of the six seconds that the client gives
+    assert isinstance(await ask(rig, "g1", "lookup"), bytes)
+    for name in ("g2", "g3", "g4", "g5"):
+        rig.gateways[name].signal(signal.SIGCONT)
+    assert (await answered(rig, ["g1", "g2"], dedupe=key)).startswith(key.encode())
+
+
+async def test_a_gateway_cut_off_with_its_client_answers_nothing_that_others_would_not_know(rig):
+    key, other = mark(), mark()
+    await answered(rig, ["g1"], dedupe=key)
+    rig.cut("g1")
+    assert await ask(rig, "g1", dedupe=other) in ("shed", "failed")
+    first = await answered(rig, ["g2", "g3"], dedupe=other)
+    rig.heal()
+    assert await answered(rig, ["g1"], dedupe=other) == first
+
+
+async def test_machines_are_lost_one_after_the_other_while_clients_go_on(rig):
+    told = {}
+    for turn in range(3):
+        for _ in range(4):
+            key = mark()
+            told[key] = await answered(rig, rig.names, dedupe=key)
+        lost = rig.names[turn]
+        await lose(rig, lost)
+        for key, first in told.items():
+            assert await answered(rig, [name for name in rig.names if name != lost], dedupe=key) == first
+        await rig.gateways[lost].start()
+        await rig.gateways[lost].ready()
+        await whole(rig)
+    assert set(told) <= set(rig.effects.of_mark)
