--- a/benchmarks/planted_copies.py
+++ b/benchmarks/planted_copies.py
@@ -8,9 +8,12 @@
 from typing import Any
 from unittest import mock
 
+from lotusstream.copies import claims as cl
 from lotusstream.copies import messages as ms
+from lotusstream.copies.claims import Claims
 from lotusstream.copies.manager import Manager
 from lotusstream.copies.replica import Replicas, Shard
+from lotusstream.copies.shards import shard_of
 from lotusstream.lab.copies import CopyScene, CopyWorld, play
 from lotusstream.lab.world import Broken
 
@@ -103,16 +106,101 @@
     return mock.patch.object(Replicas, "_fill", stale)
 
 
+def _sent_before_the_promise() -> Any:
+    """A send leaves with its claim on the way."""
+    claim = Claims._claim
+
+    def hasty(self: Claims, kept: Any, after: str, since: int) -> None:
+        claim(self, kept, after, since)
+        kept.mine = kept.wanted
+        if kept.waits is not None:
+            self._let_go(kept)
+
+    return mock.patch.object(Claims, "_claim", hasty)
+
+
+def _answered_before_it_is_held() -> Any:
+    answered = Claims._answered
+
+    def hasty(self: Claims, command: int, answer: bytes, by: int) -> None:
+        answered(self, command, answer, by)
+        self._out.append(cl.Give(command, answer))
+
+    return mock.patch.object(Claims, "_answered", hasty)
+
+
+def _a_repeat_is_new() -> Any:
+    """Taken over without a word to the module: sent wherever it was to go."""
+    known = Claims._known
+
+    def blind(self: Claims, kept: Any, holding: ms.Holding) -> None:
+        if kept.step is cl.Step.CLAIM and holding.state is ms.Held.SENT:
+            self._claim(kept, holding.gateway, holding.since)
+        else:
+            known(self, kept, holding)
+
+    return mock.patch.object(Claims, "_known", blind)
+
+
+def _moved_without_a_word() -> Any:
+    """The claim goes on naming the place of the first send."""
+    leaves = Claims._leaves
+
+    def lazy(self: Claims, told: cl.Leaves) -> None:
+        kept = self._kept.get(told.command)
+        if kept is not None and kept.mine is not None:
+            kept.told, kept.waits = told, told.send
+            self._let_go(kept)
+        else:
+            leaves(self, told)
+
+    return mock.patch.object(Claims, "_leaves", lazy)
+
+
+def _any_claim_takes_over() -> Any:
+    """A home that does not compare before it sets."""
+    claim = Replicas._claim
+
+    def open_to_all(self: Replicas, ticket: int, wanted: ms.Holding, unix: int, after: str) -> None:
+        number = shard_of(wanted.key, self._terms.shards)
+        known = self._shard(number).holdings.get(wanted.key)
+        claim(self, ticket, wanted, unix, known.gateway if known is not None else after)
+
+    return mock.patch.object(Replicas, "_claim", open_to_all)
+
+
+def _taken_back_though_it_ran() -> Any:
+    over = Claims._over
+
+    def careless(self: Claims, told: cl.Over) -> None:
+        over(self, replace(told, ran=False, out=frozenset()))
+
+    return mock.patch.object(Claims, "_over", careless)
+
+
 HARD = replace(SCENE, faults=("lose", "lose", "crash", "cut"), fault_every=500_000)
 POWER = replace(SCENE, faults=("power", "lose", "lose"), fault_every=350_000)
-CUTS = replace(SCENE, faults=("cut",), fault_every=1_500_000, patience=400_000, repeat=0.8, clients=8)
+CUTS = replace(
+    SCENE, faults=("cut", "stop"), fault_every=1_000_000, patience=3_000_000, repeat=0.9, clients=24, once=0.5,
+    work=400_000, mute=0.0, unrun=0.0,
+)  # fmt: skip
+ASKED = replace(
+    HARD, sync=150_000, patience=500_000, work=200_000, once=1.0, mute=0.0, unrun=0.0, clients=10, repeat=0.7
+)
+AGAIN = replace(SCENE, repeat=0.7, patience=700_000, unrun=0.4, clients=6)
 PLANTED = (
+    Planted("a send leaves before its promise", _sent_before_the_promise, AGAIN),
+    Planted("an answer before it is held", _answered_before_it_is_held, AGAIN),
+    Planted("a repeat is taken for new", _a_repeat_is_new, AGAIN),
+    Planted("a claim that moves without a word", _moved_without_a_word, AGAIN),
+    Planted("a claim that takes over unasked", _any_claim_takes_over, AGAIN),
+    Planted("a claim taken back though it ran", _taken_back_though_it_ran, AGAIN),
     Planted("promised on one disk", _one_disk_is_enough, HARD),
     Planted("a copy answers before its disk", _before_its_own_disk, replace(POWER, sync=300_000)),
     Planted("a home without a lease", _no_lease, CUTS),
     Planted("a joining disk becomes home", _joining_counts_at_once, HARD),
     Planted("a wiped disk counts", _wiped_disk_counts, HARD),
-    Planted("what may be lost is told", _unpromised_is_told, replace(HARD, sync=150_000, patience=200_000)),
+    Planted("what may be lost is told", _unpromised_is_told, ASKED),
     Planted("a repair from what is behind", _repair_from_what_is_behind, replace(HARD, loss=0.2)),
 )
 
--- a/lotusstream/lab/copies.py
+++ b/lotusstream/lab/copies.py
@@ -8,22 +8,26 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lotusstream.copies import claims as cl
 from lotusstream.copies import manager as mg
 from lotusstream.copies import messages as ms
 from lotusstream.copies import replica as rp
 from lotusstream.copies.manager import CopyTerms, Manager
-from lotusstream.copies.messages import Assigned, Held, Holding
+from lotusstream.copies.messages import Assigned
 from lotusstream.copies.replica import Replicas, read_back
-from lotusstream.copies.shards import Holder, Place, shard_of
+from lotusstream.copies.shards import Holder, Place
 from lotusstream.lab.world import MS, Node, S, Span, World
 from lotusstream.leases.granter import LeaseTerms
 
+ONCE = "once"  # the end of keys whose commands may run once only
 TERMS = CopyTerms(3, 2, LeaseTerms(1 * S, 125 * MS, 0.05), 2, 4)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class CopyScene(Span):
-    """`retention`: how long a key is remembered."""
+    """`retention`: how long a key is remembered. `places`: zones of engines, each of which drops repeats for
+    `window`; of `once` commands they drop none. `unrun`, `mute`: the shares of sends that provably did not
+    run, and that ran though nothing was heard of them. `work`: how long one takes at most."""
 
     length: int = 16 * S
     faults_end: int = 10 * S
@@ -32,6 +36,12 @@
     clients: int = 4
     terms: CopyTerms = TERMS
     retention: int = 60 * S
+    places: int = 2
+    window: int = 6 * S
+    unrun: float = 0.2
+    mute: float = 0.1
+    once: float = 0.3
+    work: int = 160 * MS
     sync: int = 5 * MS
     repeat: float = 0.4  # the share of answered commands that are asked again
     patience: int = 1500 * MS  # of a client, until it asks another gateway
@@ -50,19 +60,21 @@
         self.disk, self.disk_name = Disk(), ""
         self.replicas: Replicas
         self.holder: Holder
+        self.claims: cl.Claims
         self.flows: dict[int, Flow] = {}
         self.beacon: dict[str, int] = {}
-        self.homes: dict[int, Place] = {}  # as this gateway last heard
 
 
 class Flow:
-    """One command at one gateway."""
+    """One command at one gateway. `earlier`: where and since when another one may have run it."""
 
-    def __init__(self, key: str, client: str, asked: int) -> None:
-        self.key, self.client, self.asked = key, client, asked
-        self.step, self.tries, self.answer = "claim", 0, b""
-        self.holding: Holding | None = None
-        self.ticket = self.tried = 0
+    def __init__(self, number: int, key: str, client: str, asked: int) -> None:
+        self.number, self.key, self.client, self.asked = number, key, client, asked
+        self.send = self.place = -1
+        self.earlier: tuple[int, int] | None = None
+        self.once = key.endswith(ONCE)
+        self.ran = False
+        self.out: set[int] = set()
 
 
 class ClientNode(Node):
@@ -75,15 +87,21 @@
     def __init__(self, world: CopyWorld) -> None:
         self._world = world
         self.effects: dict[str, int] = {}
+        self._said: dict[tuple[str, int], tuple[int, bytes]] = {}
         self.answers: dict[str, bytes] = {}
         self.answered_at: dict[str, int] = {}
-        self.promises = self.repeats = self.unknown = self.lost_machines = 0
-
-    def effect(self, key: str) -> int:
-        self.effects[key] = self.effects.get(key, 0) + 1
-        if self.effects[key] > 1:
-            self._world.fails(f"{key} took effect twice")
-        return self.effects[key]
+        self.promises = self.repeats = self.unknown = self.lost_machines = self.taken_over = 0
+
+    def effect(self, key: str, place: int) -> bytes:
+        """Of an engine of this zone: a repeat that it remembers is dropped, and told the same."""
+        world = self._world
+        said = self._said.get((key, place))
+        if said is None or world.now > said[0] + world.scene.window or key.endswith(ONCE):
+            self.effects[key] = self.effects.get(key, 0) + 1
+            if self.effects[key] > 1:
+                world.fails(f"{key} took effect twice")
+            said = self._said[key, place] = (world.now, f"{key} in {place}".encode())
+        return said[1]
 
     def answered(self, key: str, answer: bytes) -> None:
         known = self.answers.setdefault(key, answer)
@@ -105,7 +123,7 @@
         self.scene, self.judge = scene, CopyJudge(self)
         self.agreed: dict[int, Assigned] = {}
         self._disks = self._tickets = self._takes = 0
-        self._asks: dict[int, GatewayNode] = {}
+        self._asks: dict[int, tuple[GatewayNode, int]] = {}
         self.gateways = {f"g{at}": GatewayNode(f"g{at}", self) for at in range(scene.gateways)}
         self.clients = {f"c{at}": ClientNode(f"c{at}", self) for at in range(scene.clients)}
         self.chief = Node("manager", self.draw, scene.terms.leases.drift)
@@ -142,6 +160,12 @@
             session = f"{node.disk_name}.{node.run}"
             node.replicas = Replicas(place, session, self.scene.terms, shards, now)
             node.flows = {}
+            terms = cl.ClaimTerms(self.scene.terms.shards, self.scene.terms.copies, 300 * MS, 40 * MS)
+            holders = [
+                Holder(Place(f"g{at}", ""), f"g{at}", f"z{at % self.scene.zones}")
+                for at in range(self.scene.gateways)
+            ]
+            node.claims = cl.Claims(session, holders, terms)
             self._beat(node)
             self._tick(node)
         elif node is self.chief:
@@ -152,6 +176,7 @@
 
     def _tick(self, node: GatewayNode) -> None:
         self._tell(node, rp.Tick(self.now))
+        self._claim(node, cl.Tick())
         self.after(40 * MS, self._on(node, lambda: self._tick(node)))
 
     def _tell(self, node: GatewayNode, event: Any) -> None:
@@ -164,11 +189,11 @@
                 case rp.Say(to, word):
                     self._to_place(node, to, word)
                 case rp.Promised(ticket):
-                    self._outcome(node, ticket, "promised", None)
+                    self._outcome(node, ticket, "promised")
                 case rp.Known(ticket, holding):
                     self._outcome(node, ticket, "known", holding)
-                case rp.Unkept(ticket, _, _, maybe):
-                    self._outcome(node, ticket, "maybe" if maybe else "unkept", None)
+                case rp.Unkept(ticket, why, home, maybe):
+                    self._outcome(node, ticket, "maybe" if maybe else "unkept", None, why, home)
 
     def _syncing(self, node: GatewayNode, save: rp.Save) -> Callable[[], None]:
         def synced() -> None:
@@ -238,8 +263,6 @@
         beacon = mg.Beacon(node.holder, node.replicas.session, joined)
         node.beacon = {node.replicas.session: node.beacon.get("next", now), "next": now}
         self._deliver(node, self.chief, lambda: self._decide(beacon))
-        homes = {shard: assigned.home for shard, assigned in self.agreed.items()}
-        self._deliver(self.chief, node, lambda: node.homes.update(homes))
         for assigned in self.agreed.values():
             if node.holder.place in assigned.all and self.draw.random() < 0.3:
                 self._learning(node.holder.place, assigned)
@@ -252,6 +275,8 @@
         if not again:
             client.number += 1
             client.key = f"{client.name}-{client.number}"
+            if self.draw.random() < self.scene.once:
+                client.key += ONCE
         else:
             self.judge.repeats += 1
         client.told, client.tries = b"", 0
@@ -261,7 +286,7 @@
         gateway = self.draw.choice(list(self.gateways.values()))
         client.tries += 1
         key, tries = client.key, client.tries
-        self._deliver(client, gateway, lambda: self._take(gateway, Flow(key, client.name, self.now)))
+        self._deliver(client, gateway, lambda: self._take(gateway, key, client.name))
         self.after(self.scene.patience, lambda: self._waited(client, key, tries))
 
     def _waited(self, client: ClientNode, key: str, tries: int) -> None:
@@ -271,72 +296,113 @@
             else:
                 self._next(client)
 
-    def _take(self, node: GatewayNode, flow: Flow) -> None:
-        self._takes += 1  # one and the same claim may be made again, and no other one is taken for it
-        by, until = f"{node.replicas.session}/{self._takes}", self.now + self.scene.retention
-        holding = Holding(flow.key, "p", Held.SENT, by, until)
-        flow.holding = holding
-        self._try(node, flow)
-
-    def _try(self, node: GatewayNode, flow: Flow) -> None:
-        """Asks the shard's home, and again: until it is kept, or too late."""
-        flow.tries += 1
-        if flow.tries > 12:
-            return
-        self._tickets += 1
-        flow.ticket = ticket = self._tickets
-        flow.tried = self.now
-        node.flows[ticket] = flow
-        place = node.homes.get(shard_of(flow.key, self.scene.terms.shards))
-        assert flow.holding is not None
-        kind = rp.Claim if flow.step == "claim" else rp.Finish
-        event = kind(ticket, flow.holding, self.now)
-        if place is not None:
-            home = self.gateways[place.name]
-            self._asks[ticket] = node
-            self._deliver(node, home, lambda: self._tell(home, event))
-
-        def late() -> None:
-            if node.flows.pop(ticket, None) is flow and flow.ticket == ticket:
-                self._try(node, flow)
-
-        self.after(300 * MS, self._on(node, late))
-
-    def _outcome(self, home: GatewayNode, ticket: int, what: str, holding: Holding | None) -> None:
-        node = self._asks.pop(ticket, None)
-        if node is None:
+    def _take(self, node: GatewayNode, key: str, client: str) -> None:
+        self._takes += 1
+        flow = node.flows[self._takes] = Flow(self._takes, key, client, self.now)
+        flow.place = self.draw.randrange(self.scene.places)
+        self._send(node, flow)
+
+    def _send(self, node: GatewayNode, flow: Flow) -> None:
+        """As the decision module does: where it may have run, and only while engines remember it."""
+        earlier = flow.earlier
+        late = earlier is not None and self.now + self.scene.patience > earlier[1] + self.scene.window
+        if late or (earlier is not None and flow.once):
+            self.judge.unsure(flow.key, flow.asked)
+            self._end(node, flow)
             return
+        flow.place = earlier[0] if earlier is not None else flow.place
+        flow.send += 1
+        flow.out.add(flow.send)
+        until, by = self.now + self.scene.retention, self.now + self.scene.patience // 2
+        zone = f"p{flow.place}"
+        self._claim(
+            node,
+            cl.Leaves(flow.number, flow.send, flow.key, "p", zone, -1, self.now, until, by, not flow.once),
+        )
 
-        def heard() -> None:
-            flow = node.flows.pop(ticket, None)
-            if flow is not None and flow.ticket == ticket:
-                self._went(node, flow, what, holding)
-
-        self._deliver(home, node, heard)
-
-    def _went(self, node: GatewayNode, flow: Flow, what: str, holding: Holding | None) -> None:
-        if what == "promised" and flow.step == "claim":
-            flow.step = "send"
-            self.after(self.draw.randint(5 * MS, 100 * MS), self._on(node, lambda: self._ran(node, flow)))
-        elif what == "promised" and flow.holding is not None:
-            self._reply(node, flow, flow.holding.answer)
-        elif what == "known" and holding is not None:
-            if holding.state is Held.ANSWERED:
-                self._reply(node, flow, holding.answer)
-            elif flow.step == "claim":
-                self.judge.unsure(flow.key, flow.tried)
+    def _end(self, node: GatewayNode, flow: Flow) -> None:
+        if node.flows.pop(flow.number, None) is not None:
+            by = self.now + 2 * S
+            self._claim(node, cl.Over(flow.number, flow.ran, frozenset(flow.out), by))
+
+    def _claim(self, node: GatewayNode, event: cl.Event) -> None:
+        for action in node.claims.handle(self.now, event):
+            flow = None if isinstance(action, cl.Ask) else node.flows.get(action.command)
+            match action:
+                case cl.Ask():
+                    self._ask_home(node, action)
+                case cl.LetGo() if flow is not None:
+                    run = self._on(node, self._running(node, flow, flow.send, flow.place))
+                    self.after(self.draw.randint(5 * MS, self.scene.work), run)
+                case cl.Back(_, send) if flow is not None:
+                    flow.out.discard(send)
+                    if flow.earlier is not None:
+                        self.after(MS, self._on(node, self._sending(node, flow)))
+                case cl.Recall(_, zone, _, since) if flow is not None:
+                    flow.earlier = (int(zone[1:]), since)
+                    self.judge.taken_over += 1
+                case cl.Give(_, answer) if flow is not None:
+                    self._reply(node, flow, answer)
+                    self._end(node, flow)
+                case cl.Refuse() | cl.Withhold() if flow is not None:
+                    self._end(node, flow)
+
+    def _sending(self, node: GatewayNode, flow: Flow) -> Callable[[], None]:
+        return lambda: self._send(node, flow) if flow.number in node.flows else None
+
+    def _ask_home(self, node: GatewayNode, ask: cl.Ask) -> None:
+        self._tickets += 1
+        ticket, home = self._tickets, self.gateways[ask.holder]
+        self._asks[ticket] = (node, ask.number)
+        if ask.finish:
+            event: rp.Event = rp.Finish(ticket, ask.holding, self.now)
         else:
-            self.after(100 * MS, self._on(node, lambda: self._try(node, flow)))
-
-    def _ran(self, node: GatewayNode, flow: Flow) -> None:
-        """The engine has done it, once and for all."""
-        number = self.judge.effect(flow.key)
-        answer = f"{flow.key} by {node.name} {number}".encode()
-        old = flow.holding
-        assert old is not None
-        flow.holding = Holding(old.key, old.print, Held.ANSWERED, old.gateway, old.until, answer)
-        flow.step, flow.tries = "finish", 0
-        self._try(node, flow)
+            event = rp.Claim(ticket, ask.holding, self.now, ask.after)
+        self._deliver(node, home, lambda: self._tell(home, event))
+
+    def _outcome(
+        self, home: GatewayNode, ticket: int, what: str, holding: ms.Holding | None = None, why: str = "",
+        hint: str = "",
+    ) -> None:  # fmt: skip
+        node, number = self._asks.get(ticket, (None, 0))
+        if node is not None:
+            to, run = node, node.run
+            heard = cl.Heard(number, what, holding, why, hint)
+            self._deliver(home, to, lambda: self._claim(to, heard) if to.run == run else None)
+
+    def _running(self, node: GatewayNode, flow: Flow, send: int, place: int) -> Callable[[], None]:
+        """At the engine: it runs it, or says that it has not, or it says nothing that comes through."""
+
+        def ran() -> None:
+            if self.now > flow.asked + self.scene.patience:  # the client's time is over: nothing leaves
+                flow.out.discard(send)
+                self._end(node, flow)
+                return
+            if self.draw.random() < self.scene.unrun:
+                flow.out.discard(send)
+                flow.place = self.draw.randrange(self.scene.places) if not flow.ran else flow.place
+                if self.draw.random() < 0.5 and flow.send < 3:
+                    self._send(node, flow)
+                else:
+                    self._end(node, flow)
+                return
+            answer = self.judge.effect(flow.key, place)
+            flow.ran = True
+            if self.draw.random() < self.scene.mute:
+                flow.out.discard(send)
+                if flow.once or self.draw.random() < 0.5:
+                    self._end(node, flow)
+                else:
+                    self._send(node, flow)
+                return
+            self.after(self.draw.randint(MS, self.scene.work // 2), self._on(node, lambda: back(answer)))
+
+        def back(answer: bytes) -> None:
+            flow.out.discard(send)
+            if flow.number in node.flows:
+                self._claim(node, cl.Answered(flow.number, answer, flow.asked + self.scene.patience))
+
+        return ran
 
     def _reply(self, node: GatewayNode, flow: Flow, answer: bytes) -> None:
         client = self.clients[flow.client]
