A copy that began anew takes nothing from a home of an earlier epoch; a manager hears what was agreed

Checked: a trace of the shard on every holder at every event. Persisted, marks and open keys were right. g4 began anew at 10.0 s and knew of no epoch; the first to speak was g0, home of epoch 21, woken from a stop: its Begin was learnt (`_learn` compared with what this run had heard alone) and its Fill took change (23, 7) from g4's disk, then g4 filled g2 with that. Change: `Replicas._learn` refuses epochs below that of the disk's newest change, and says Deposed; `Manager` asks for all that is agreed on once in a lease (LookUp, Found).

--- a/lotusstream/copies/manager.py
+++ b/lotusstream/copies/manager.py
@@ -50,12 +50,19 @@
     now: Assigned | None
 
 
+@dataclass(frozen=True, slots=True)
+class Found:
+    """All that is agreed on, after a LookUp."""
+
+    assigned: tuple[Assigned, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     pass
 
 
-Event = Beacon | Agreed | NotAgreed | Tick
+Event = Beacon | Agreed | NotAgreed | Found | Tick
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +72,12 @@
     assigned: Assigned
 
 
+@dataclass(frozen=True, slots=True)
+class LookUp:
+    """What has the quorum? Once in a lease: an answer to a proposal may have been lost, and what was agreed
+    on would not be known here for good."""
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """To a beacon: the holder's lease counts from before it sent it."""
@@ -81,7 +94,7 @@
     lost: int
 
 
-Action = Propose | Answer | Endangered
+Action = Propose | LookUp | Answer | Endangered
 
 
 @dataclass(slots=True)
@@ -100,7 +113,7 @@
         self.assigned = {each.shard: each for each in assigned}
         self._seen: dict[Place, _Seen] = {}
         self._open: dict[int, int] = {}  # proposals that nothing is known of yet, since when
-        self._now = now
+        self._now = self._looked = now
         self._told = (0, 0)
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -120,6 +133,12 @@
                 self._open.pop(shard, None)
                 if other is not None:
                     self._learn(other)
+            case Found(assigned):
+                for each in assigned:
+                    self._learn(each)
+        if now - self._looked >= self._terms.leases.length:
+            self._looked = now
+            out.append(LookUp())
         self._decide(now, out)
         return out
 
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -274,6 +274,8 @@
         known = shard.assigned.epoch if shard.assigned else 0
         if assigned.epoch <= known:
             return assigned.epoch == known
+        if assigned.epoch < shard.last[0]:  # this run has not heard of it yet, its disk has: guards what is
+            return False  # promised against a home of an earlier epoch that would fill it with what it has
         was_home = self._home(shard)
         shard.assigned, shard.deposed = assigned, False
         shard.reported &= set(assigned.joining)
@@ -468,6 +470,7 @@
         return mine is not None and mine.epoch == epoch and mine.home == sender and self.place in mine.all
 
     def _answer_old(self, sender: Place, number: int, epoch: int) -> None:
-        mine = self._shard(number).assigned
-        if mine is not None and mine.epoch > epoch:
-            self._say(sender, ms.Deposed(number, mine.epoch), rests=False)
+        shard = self._shard(number)
+        newest = max(shard.assigned.epoch if shard.assigned else 0, shard.last[0])
+        if newest > epoch:
+            self._say(sender, ms.Deposed(number, newest), rests=False)
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -291,14 +291,19 @@
             await asyncio.sleep(self._terms.leases.length / US / 8)
         if self._around.may_act() != token:
             return
-        assigned = [
-            _ASSIGNED.decode(note["value"]) for key, note in view["notes"].items() if key.startswith(NOTE)
-        ]
-        self._manager = Manager(self._terms, assigned, clock.boot_clock())
+        self._manager = Manager(self._terms, self._assigned(view), clock.boot_clock())
         while True:
             self.post(mg.Tick())
             await asyncio.sleep(self._terms.leases.length / US / 20)
 
+    def _assigned(self, view: dict[str, Any]) -> tuple[Assigned, ...]:
+        notes = view["notes"].items()
+        return tuple(_ASSIGNED.decode(note["value"]) for key, note in notes if key.startswith(NOTE))
+
+    async def _look_up(self) -> None:
+        if (view := await self._look()) is not None:
+            self.post(mg.Found(self._assigned(view)))
+
     async def receive(self, message: Any) -> None:
         manager = self._manager
         if manager is None or not self._token or self._around.may_act() != self._token:
@@ -310,6 +315,8 @@
             match action:
                 case mg.Propose(assigned):
                     self.supervisor.start("assigning", self._propose(assigned, self._token))
+                case mg.LookUp():
+                    self.supervisor.start("assignments", self._look_up())
                 case mg.Answer(place, session):
                     number = self._waiting.pop((place, session), 0)
                     mine = tuple(each for each in manager.assigned.values() if place in each.all)
--- a/tests/copies/test_copies.py
+++ b/tests/copies/test_copies.py
@@ -3,8 +3,11 @@
 import pytest
 
 from benchmarks.planted_copies import PLANTED, caught
-from lotusstream.copies.shards import Holder, Place, placed
-from lotusstream.lab.copies import play
+from lotusstream.copies import manager as mg
+from lotusstream.copies import messages as ms
+from lotusstream.copies import replica as rp
+from lotusstream.copies.shards import Holder, Place, placed, shard_of
+from lotusstream.lab.copies import TERMS, play
 
 SPAN = 20
 
@@ -38,3 +41,29 @@
         before = placed(shard, fleet, 3)
         after = placed(shard, fleet[1:], 3)
         assert [each for each in before if each != fleet[0]] == [each for each in after if each in before]
+
+
+HOME, COPY, OLD = Place("g1", "d1"), Place("g2", "d2"), Place("g3", "d3")
+
+
+def test_a_copy_that_began_anew_is_not_filled_by_a_home_of_an_epoch_before_its_newest_change():
+    """Seed 243: such a home woke from a stop first, and its fill took a promised answer from the disk."""
+    shard = shard_of("key", TERMS.shards)
+    answered = ms.Holding("key", "p", ms.Held.ANSWERED, "g", 1 << 60, b"rows")
+    kept = rp.read_back([ms.KeptOp(shard, ms.Op(23, 7, answered))])
+    copy = rp.Replicas(COPY, "anew", TERMS, kept, 0)
+    woken = ms.Assigned(shard, 21, OLD, "old", (COPY,))
+    assert copy.handle(1, rp.Heard(OLD, ms.Begin(woken))) == [rp.Say(OLD, ms.Deposed(shard, 23))]
+    copy.handle(2, rp.Heard(OLD, ms.Fill(shard, 21, -1, 21, 6)))
+    assert copy.shards[shard].holdings["key"] == answered
+
+
+def test_a_manager_whose_answer_was_lost_hears_what_was_agreed_on_within_a_lease():
+    """Seed 275: it took a shard for whole that had been left with one copy, and mended it never."""
+    known = ms.Assigned(0, 14, HOME, "s", (COPY, OLD))
+    manager = mg.Manager(TERMS, [known], 0)
+    actions = manager.handle(TERMS.leases.length, mg.Tick())
+    assert mg.LookUp() in actions
+    now = ms.Assigned(0, 15, HOME, "s", (COPY,))
+    manager.handle(TERMS.leases.length + 1, mg.Found((now,)))
+    assert manager.assigned[0] == now
