--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-SUBJECTS = ("cells", "leases", "levels")
+SUBJECTS = ("cells", "copies", "leases", "levels")
 
 
 def main() -> int:
--- a/lotusstream/cli/fleet.py
+++ b/lotusstream/cli/fleet.py
@@ -38,7 +38,8 @@
         raise click.UsageError(f"{schedule}: {error}") from error
     outcome = playing.run(told, click.echo)
     if outcome.kept:
-        click.echo("kept: no two acted at once, and the task went on")
+        promises = ", and every promise was kept" if told.customers else ""
+        click.echo(f"kept: no two acted at once, and the task went on{promises}")
         return
     keep.mkdir(parents=True, exist_ok=True)
     name = schedule.stem if schedule else f"seed-{seed}"
--- a/lotusstream/copies/manager.py
+++ b/lotusstream/copies/manager.py
@@ -28,11 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Beacon:
-    """`joined`: by shard, the epoch and those that its home has filled."""
+    """`joined`: by shard, the epoch and those that its home has filled. `left`: this run promises nothing any
+    more and is about to end."""
 
     holder: Holder
     session: str
     joined: Mapping[int, tuple[int, tuple[Place, ...]]] = field(default_factory=dict)
+    left: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +104,7 @@
     holder: Holder
     session: str
     at: int
+    left: bool
 
 
 class Manager:
@@ -122,8 +125,10 @@
         lost = now - self._terms.leases.length // 2  # its answer was: the quorum takes no epoch twice
         self._open = {shard: since for shard, since in self._open.items() if since > lost}
         match event:
-            case Beacon(holder, session, joined):
-                self._seen[holder.place] = _Seen(holder, session, now)
+            case Beacon(holder, session, joined, left):
+                known = self._seen.get(holder.place)
+                left = left or (known is not None and known.left and known.session == session)  # for good
+                self._seen[holder.place] = _Seen(holder, session, now, left)
                 out.append(Answer(holder.place, session))
                 self._joined(joined, out)
             case Agreed(assigned):
@@ -151,7 +156,7 @@
         """None where it can't be told yet: it may have a lease from the manager before."""
         seen = self._seen.get(place)
         if seen is not None:
-            return now - seen.at < self._terms.leases.length
+            return now - seen.at < self._terms.leases.length and not seen.left
         return None if now - self._began < self._terms.leases.length else False
 
     def _propose(self, assigned: Assigned, out: list[Action]) -> None:
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -64,6 +64,11 @@
     unix: int
 
 
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """A planned stop: from now on this run promises nothing, so that others can at once."""
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time has passed; `unix`: the time of day, for what is kept no longer."""
@@ -71,7 +76,7 @@
     unix: int = 0
 
 
-Event = Heard | Persisted | Learnt | LeaseFrom | Claim | Finish | Tick
+Event = Heard | Persisted | Learnt | LeaseFrom | Claim | Finish | Leave | Tick
 
 # Actions
 
@@ -172,7 +177,7 @@
         self, place: Place, session: str, terms: CopyTerms, shards: dict[int, Shard], now: int
     ) -> None:
         self.place, self.session, self._terms, self.shards = place, session, terms, shards
-        self._now, self._until = now, 0
+        self._now, self._until, self.left = now, 0, False
         self._out: list[Action] = []
         self._number = 0
         self._pending: list[ms.Record] = []
@@ -195,6 +200,8 @@
                 self._claim(ticket, holding, unix, after)
             case Finish(ticket, holding, unix):
                 self._finish(ticket, holding, unix)
+            case Leave():
+                self.left = True
             case Tick(unix):
                 self._forget(unix)
         for shard in self.shards.values():
@@ -205,7 +212,7 @@
     @property
     def leased(self) -> bool:
         """Whether this holder may promise anything at this moment."""
-        return self._now < self._until
+        return self._now < self._until and not self.left
 
     def joined(self) -> dict[int, tuple[int, tuple[Place, ...]]]:
         """For the beacon: those that this home has filled, and that have on their disks all that it has."""
--- a/lotusstream/lab/copies.py
+++ b/lotusstream/lab/copies.py
@@ -46,7 +46,7 @@
     sync: int = 5 * MS
     repeat: float = 0.4  # the share of answered commands that are asked again
     patience: int = 1500 * MS  # of a client, until it asks another gateway
-    faults: tuple[str, ...] = ("crash", "cut", "one-way", "stop", "lose", "lose", "manager", "power")
+    faults: tuple[str, ...] = ("crash", "cut", "one-way", "stop", "lose", "lose", "manager", "power", "leave")
 
 
 @dataclass(slots=True)
@@ -267,16 +267,19 @@
 
         return lease
 
-    def _beat(self, node: GatewayNode) -> None:
+    def _beacon(self, node: GatewayNode) -> None:
         """The lease counts from the beacon before the one that may be answered by now: never too late."""
         now = node.clock(self.now)
         joined = node.replicas.joined()
-        beacon = mg.Beacon(node.holder, node.replicas.session, joined)
+        beacon = mg.Beacon(node.holder, node.replicas.session, joined, node.replicas.left)
         node.beacon = {node.replicas.session: node.beacon.get("next", now), "next": now}
         self._deliver(node, self.chief, lambda: self._decide(beacon))
         for assigned in self.agreed.values():
             if node.holder.place in assigned.all and self.draw.random() < 0.3:
                 self._learning(node.holder.place, assigned)
+
+    def _beat(self, node: GatewayNode) -> None:
+        self._beacon(node)
         self.after(200 * MS, self._on(node, lambda: self._beat(node)))
 
     # Commands
@@ -454,6 +457,20 @@
         self.down(node)
         self.back(node, 2 * S)
 
+    def _fault_leave(self) -> None:
+        """A planned stop, after which what it had taken may still be on its way."""
+        node = self.draw.choice(list(self.gateways.values()))
+        if not node.up or node.stopped:
+            return
+        self._tell(node, rp.Leave())
+        self._beacon(node)
+
+        def end() -> None:
+            self.down(node)
+            self.back(node, 2 * S)
+
+        self.after(self.draw.randint(50 * MS, 900 * MS), self._on(node, end))
+
     def _fault_power(self) -> None:
         for node in self.gateways.values():
             self.down(node)
--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -364,6 +364,35 @@
                 await self._leads.wait()
         return self.leader
 
+    async def whole(self, shards: int, copies: int = 3, within: float = 60.0) -> dict[int, dict[str, Any]]:
+        """Once every keeper's disk has a vote, and every shard is on so many disks, as each of them says
+        itself: a machine may be lost. By shard, what its home tells."""
+        async with asyncio.timeout(within):
+            while True:
+                with contextlib.suppress(Lost, OSError, asyncio.IncompleteReadError, TimeoutError):
+                    if (found := await self._whole(shards, copies)) is not None:
+                        return found
+                await asyncio.sleep(0.05)
+
+    async def _whole(self, shards: int, copies: int) -> dict[int, dict[str, Any]] | None:
+        keeping = {name: (await self.gateways[name].ask(wire.Quorum()))["here"] for name in self.keepers}
+        leading = [each for each in keeping.values() if each["role"] == "leader"]
+        if not leading or leading[-1]["term"] != max(each["term"] for each in keeping.values()):
+            return None
+        votes = {each["name"]: each["disk"] for each in leading[-1]["members"] if each["voter"]}
+        if votes != {name: each["disk"] for name, each in keeping.items()}:
+            return None
+        held = {
+            name: {row["shard"]: row for row in (await self.gateways[name].ask(wire.Copies()))["shards"]}
+            for name in self.holders
+        }
+        rows = {row["shard"]: row for name in held for row in held[name].values() if row["home"] == name}
+        for shard, row in rows.items():
+            others = [held[name].get(shard, {"epoch": 0})["epoch"] for name in row["copies"]]
+            if row["joining"] or others != [row["epoch"]] * (copies - 1):
+                return None
+        return rows if len(rows) == shards else None
+
     async def until(
         self, wanted: Callable[[Any], bool], of: str, request: wire.Asking, within: float = 20.0
     ) -> Any:
--- a/lotusstream/lab/fleet/run.py
+++ b/lotusstream/lab/fleet/run.py
@@ -9,14 +9,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lotusstream.lab.fleet.process import FAILING, FULL, OK
+from lotusstream.lab.fleet.customers import Customers, Told
+from lotusstream.lab.fleet.process import FAILING, FULL, OK, WITNESS
 from lotusstream.lab.fleet.relay import Manner
 from lotusstream.lab.fleet.rig import FleetRig, Gateway, Lost
 from lotusstream.lab.fleet.schedule import Fault, Schedule, smaller
 from lotusstream.lab.fleet.witness import Verdict, judge
 from lotusstream.operator.units import write_time
+from lotusstream.protocol.control import Copies
 
 US = 1_000_000
+COPIES = ("heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%", "copies 3 promise 2", "shards 8")
+KEEPS = (*COPIES, "remember 10m")
+ENGINES = 4
 AFTERWARDS = 15.0  # seconds in which somebody has to act again once all faults have ended
 MANNERS = {
     "cut": Manner(cut=True),
@@ -32,6 +37,7 @@
     story: list[str]
     failures: list[str]
     takeover: float | None = None  # seconds from the end of the faults to the next act
+    told: Told | None = None  # to customers, if there are any
 
     @property
     def kept(self) -> bool:
@@ -56,7 +62,17 @@
         await asyncio.gather(*self._undoing, return_exceptions=True)
         await self._whole_again()
 
-    def _on(self, fault: Fault) -> Gateway:
+    async def _home(self) -> str:
+        """Of most shards, as the gateways say."""
+        counts = dict.fromkeys(self._rig.names, 0)
+        for name, gateway in self._rig.gateways.items():
+            with contextlib.suppress(OSError, Lost, TimeoutError, asyncio.IncompleteReadError):
+                if gateway.up and not gateway.stopped:
+                    shards = (await gateway.ask(Copies()))["shards"]
+                    counts[name] = sum(row["home"] == name for row in shards)
+        return max(counts, key=lambda name: counts[name])
+
+    async def _on(self, fault: Fault) -> Gateway:
         rig = self._rig
         match fault.on:
             case "holder":
@@ -68,6 +84,8 @@
                 name = self._draw.choice(rig.keepers)
             case "client":
                 name = self._draw.choice([each for each in rig.names if each not in rig.keepers] or rig.names)
+            case "home":
+                name = await self._home()
             case "any":
                 name = self._draw.choice(rig.names)
             case _:
@@ -75,7 +93,7 @@
         return rig.gateways[name]
 
     async def _begin(self, fault: Fault) -> None:
-        rig, gateway = self._rig, self._on(fault)
+        rig, gateway = self._rig, await self._on(fault)
         everybody = fault.kind == "kill-all"
         where = "every keeper" if everybody else gateway.name
         rig.say(f"FAULT {fault.kind} on {where} for {write_time(fault.lasts)}")
@@ -165,23 +183,36 @@
         await asyncio.gather(*(each.ready() for each in rig.gateways.values()))
 
 
-async def play(schedule: Schedule, tell: Callable[[str], None] | None = None) -> Outcome:
-    """Everything is gone again when this returns, or is cancelled."""
+async def play(
+    schedule: Schedule, tell: Callable[[str], None] | None = None, directives: tuple[str, ...] = KEEPS
+) -> Outcome:
+    """Everything is gone again when this returns or is cancelled. `directives`: where there are customers."""
     failures: list[str] = []
-    takeover = None
+    takeover, told = None, None
     rig = FleetRig(schedule.gateways, schedule.keepers, seed=schedule.seed, tell=tell)
+    if schedule.customers:
+        rig = FleetRig(
+            schedule.gateways, schedule.keepers, seed=schedule.seed, tasks=(WITNESS, "copies"),
+            directives=directives, holders=True, engines=ENGINES, tell=tell,
+        )  # fmt: skip
     async with rig:
         try:
             async with asyncio.timeout(AFTERWARDS):
                 await rig.witness.acting()
-            await Player(rig, schedule).play()
-            began = asyncio.get_running_loop().time()
-            async with asyncio.timeout(AFTERWARDS):
-                act = await rig.witness.acting()
+            customers = Customers(rig, schedule.customers, schedule.seed)
+            async with customers:
+                await Player(rig, schedule).play()
+                began = asyncio.get_running_loop().time()
+                async with asyncio.timeout(AFTERWARDS):
+                    act = await rig.witness.acting()
             takeover = asyncio.get_running_loop().time() - began
             rig.say(
                 f"{act.holder} acts under token {act.token}, {takeover:.2f} s after all faults have ended"
             )
+            if schedule.customers:
+                await customers.ask_again()
+                told = customers.told
+                failures += _broken_promises(rig, told)
         except TimeoutError:
             failures.append(f"nobody acted for {AFTERWARDS} s")
         except Lost as error:
@@ -197,7 +228,18 @@
         f"{verdict.acts} acts under {verdict.tokens} tokens, {len(verdict.overlapping)} while another acted,"
         f" {verdict.turned_away} turned away for their token"
     )
-    return Outcome(verdict, rig.story, failures, takeover)
+    if told is not None:
+        rig.say(
+            f"{told.answered} commands answered, asked again {told.repeats} times: {len(told.changed)} other"
+            f" answers, {len(told.forgotten)} forgotten, {len(rig.effects.second)} took effect twice;"
+            f" {told.shed} tries shed, {told.unknown} commands may have run and were not sent again"
+        )
+    return Outcome(verdict, rig.story, failures, takeover, told)
+
+
+def _broken_promises(rig: FleetRig, told: Told) -> list[str]:
+    found = [*told.changed, *told.forgotten, *(f"{mark}: took effect twice" for mark in rig.effects.second)]
+    return found if told.answered else ["no command was answered", *found]
 
 
 async def shrunk(schedule: Schedule, tries: int = 20) -> Schedule:
--- a/lotusstream/lab/fleet/schedule.py
+++ b/lotusstream/lab/fleet/schedule.py
@@ -43,7 +43,7 @@
     "sleep": "its clock jumps 10 s ahead, as after a sleep",
     "kill-all": "every keeper killed at once, started again in a drawn order within `lasts`",
 }
-ON = ("holder", "leader", "keeper", "client", "any")
+ON = ("holder", "leader", "keeper", "client", "home", "any")
 SPANS = {"lasts": SECOND, "at": 0}
 
 
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """Times in microseconds. `on`: a name, or one of ON, as it is at that moment."""
+    """Times in microseconds. `on`: a name, or one of ON, as it is at that moment; 'home': of most shards."""
 
     at: int
     kind: str
@@ -68,6 +68,7 @@
     seed: int
     lasts: int
     faults: tuple[Fault, ...]
+    customers: int = 0  # that ask for commands: then gateways hold them on copies
 
     def without(self, index: int) -> Schedule:
         return replace(self, faults=self.faults[:index] + self.faults[index + 1 :])
@@ -94,14 +95,15 @@
     except tomllib.TOMLDecodeError as error:
         raise UnusableSchedule(str(error)) from error
     for name in told:
-        if name not in ("gateways", "keepers", "seed", "lasts", "fault"):
-            known = ["gateways", "keepers", "seed", "lasts", "fault"]
+        known = ["gateways", "keepers", "seed", "lasts", "customers", "fault"]
+        if name not in known:
             raise UnusableSchedule(f"nothing is called '{name}': {nearest(name, known)}")
     gateways = _whole(told, "gateways", 3, 300, 5)
     keepers = _whole(told, "keepers", 3, min(7, gateways), 3)
     faults = tuple(_fault(at, each, gateways) for at, each in enumerate(told.get("fault", []), 1))
     lasts = _time(told.get("lasts", "10s"), "lasts")
-    return Schedule(gateways, keepers, _whole(told, "seed", 0, 2**31, 1), lasts, _ordered(faults))
+    customers = _whole(told, "customers", 0, 200, 0)
+    return Schedule(gateways, keepers, _whole(told, "seed", 0, 2**31, 1), lasts, _ordered(faults), customers)
 
 
 def _fault(number: int, told: Any, gateways: int) -> Fault:
@@ -149,6 +151,8 @@
         f"seed = {schedule.seed}",
         f'lasts = "{write_time(schedule.lasts)}"',
     ]
+    if schedule.customers:
+        lines.append(f"customers = {schedule.customers}")
     for each in schedule.faults:
         lines += ["", "[[fault]]", f'at = "{write_time(each.at) if each.at else "0s"}"']
         lines += [f'kind = "{each.kind}"', f'on = "{each.on}"', f'lasts = "{write_time(each.lasts)}"']
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -145,15 +145,24 @@
                 view = await self._look()
                 leases = {row["task"]: row["holder"] for row in (view or {}).get("leases", [])}
                 self.manager = leases.get("copies", "")
-            if self.manager and not self._failed:
-                self._beat += 1
-                self._beats = {number: at for number, at in self._beats.items() if now - at < length}
-                self._beats[self._beat] = clock.boot_clock()
-                joined = self.replicas.joined()
-                self._tell(self.manager, wire.Beat(self._beat, self.holder, self.replicas.session, joined))
+            self._beacon()
             self.post(rp.Tick(time.time_ns() // 1000))
             await asyncio.sleep(length / US / 8)
 
+    def _beacon(self) -> None:
+        if self.manager and not self._failed:
+            now = clock.boot_clock()
+            self._beat += 1
+            kept = self._beats.items()
+            self._beats = {number: at for number, at in kept if now - at < self._terms.leases.length}
+            self._beats[self._beat] = now
+            told, joined = self.replicas, self.replicas.joined()
+            self._tell(self.manager, wire.Beat(self._beat, self.holder, told.session, joined, told.left))
+
+    def leave(self) -> None:
+        """A planned stop: others are home of its shards at once, not only once its lease is over."""
+        self.post(rp.Leave())
+
     def heard(self, frame: wire.AnyFrame, answer: Callable[[wire.AnyFrame], None]) -> None:
         match frame:
             case wire.Word(source, to, word):
@@ -184,6 +193,9 @@
                     self._take(rp.LeaseFrom(sent))
                 for assigned in frame.assigned:
                     self._take(rp.Learnt(assigned))
+            case rp.Leave():
+                self._take(message)
+                self._beacon()
             case _:
                 self._take(message)
 
@@ -310,7 +322,7 @@
             return
         if isinstance(message, wire.Beat):
             self._waiting[message.holder.place, message.session] = message.number
-            message = mg.Beacon(message.holder, message.session, message.joined)
+            message = mg.Beacon(message.holder, message.session, message.joined, message.left)
         for action in manager.handle(clock.boot_clock(), message):
             match action:
                 case mg.Propose(assigned):
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -170,6 +170,8 @@
 
     def leave(self) -> None:
         """A planned stop: leases are released and leadership is handed over, as far as that goes at once."""
+        if self.copies is not None:
+            self.copies.leave()
         for task in self.holder.tasks:
             self.holder.post(hold.Unwant(task))
         if self.keeper is not None:
--- a/lotusstream/net/keeper.py
+++ b/lotusstream/net/keeper.py
@@ -264,6 +264,7 @@
         lag = keeper.lag()
         return {
             "name": keeper.name,
+            "disk": keeper.disk,
             "role": keeper.role,
             "term": keeper.term,
             "leader": keeper.leader,
--- a/lotusstream/protocol/peers.py
+++ b/lotusstream/protocol/peers.py
@@ -85,12 +85,14 @@
 
 
 class Beat(Frame, frozen=True, tag="beat"):
-    """A holder's beacon to whoever decides on homes. `joined`: by shard, epoch and whom it has filled."""
+    """A holder's beacon to whoever decides on homes. `joined`: by shard, epoch and whom it has filled.
+    `left`: it promises nothing any more."""
 
     number: int
     holder: Holder
     session: str
     joined: dict[int, tuple[int, tuple[Place, ...]]]
+    left: bool = False
 
 
 class Beaten(Frame, frozen=True, tag="beaten"):
--- a/tests/copies/test_copies.py
+++ b/tests/copies/test_copies.py
@@ -67,3 +67,20 @@
     now = ms.Assigned(0, 15, HOME, "s", (COPY,))
     manager.handle(TERMS.leases.length + 1, mg.Found((now,)))
     assert manager.assigned[0] == now
+
+
+def test_a_home_that_leaves_as_planned_is_followed_at_once_and_promises_nothing_more():
+    holders = [holder(name, name, "z", disk) for name, disk in (("g1", "d1"), ("g2", "d2"), ("g3", "d3"))]
+    known = ms.Assigned(0, 4, HOME, "g1", (COPY, OLD))
+    manager = mg.Manager(TERMS, [known], 0)
+    for each in holders:
+        assert not [a for a in manager.handle(1, mg.Beacon(each, each.machine)) if isinstance(a, mg.Propose)]
+    told = manager.handle(2, mg.Beacon(holders[0], "g1", left=True))
+    (proposed,) = [action.assigned for action in told if isinstance(action, mg.Propose)]
+    assert (proposed.epoch, proposed.home) == (5, COPY)
+    leaving = rp.Replicas(HOME, "g1", TERMS, {}, 0)
+    leaving.handle(1, rp.LeaseFrom(1))
+    assert leaving.leased
+    leaving.handle(2, rp.Leave())
+    leaving.handle(3, rp.LeaseFrom(3))  # answered to an earlier beacon
+    assert not leaving.leased
--- a/tests/fleet/test_promises_on_processes.py
+++ b/tests/fleet/test_promises_on_processes.py
@@ -8,8 +8,9 @@
 import pytest
 
 from lotusstream.lab.fleet.rig import FleetRig
+from lotusstream.lab.fleet.run import COPIES, play
+from lotusstream.lab.fleet.schedule import Fault, Schedule
 from lotusstream.lab.parties import Failed
-from lotusstream.protocol import control as wire
 
 DIRECTIVES = (
     "heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%", "copies 3 promise 2", "shards 4",
@@ -23,33 +24,13 @@
     async with FleetRig(
         5, 3, seed=78, tasks=("copies",), directives=DIRECTIVES, holders=True, engines=4
     ) as made:
-        await whole(made)
+        await made.whole(4)
         yield made
         broken = [line for each in made.gateways.values() for line in each.lines if "Traceback" in line]
         assert not broken, broken[0]
         assert not made.effects.second
 
 
-async def homes(rig):
-    rows = {}
-    for name, gateway in rig.gateways.items():
-        if gateway.up and not gateway.stopped:
-            with contextlib.suppress(OSError):
-                for row in (await gateway.ask(wire.Copies()))["shards"]:
-                    if row["home"] == name:
-                        rows[row["shard"]] = row
-    return rows
-
-
-async def whole(rig):
-    """Every shard has a home and two copies."""
-    async with asyncio.timeout(30):
-        while not (
-            len(rows := await homes(rig)) == 4 and all(len(row["copies"]) == 2 for row in rows.values())
-        ):
-            await asyncio.sleep(0.05)
-
-
 def mark():
     return f"{next(MARKS):032x}"
 
@@ -186,5 +167,23 @@
             assert await answered(rig, [name for name in rig.names if name != lost], dedupe=key) == first
         await rig.gateways[lost].start()
         await rig.gateways[lost].ready()
-        await whole(rig)
+        await rig.whole(4)
     assert set(told) <= set(rig.effects.of_mark)
+
+
+SECOND = 1_000_000
+LOST = Schedule(
+    5, 3, 12, 7 * SECOND, (Fault(2 * SECOND, "wipe", "home", SECOND), Fault(4 * SECOND, "leave", "g2")), 4
+)
+
+
+async def test_a_schedule_with_customers_keeps_every_promise():
+    outcome = await play(LOST)
+    assert outcome.kept, outcome.failures
+    assert outcome.told.answered > 20 and outcome.told.repeats > 20
+
+
+async def test_customers_catch_a_fleet_that_promises_nothing():
+    outcome = await play(LOST, directives=COPIES)
+    assert not outcome.kept
+    assert any("took effect twice" in failure for failure in outcome.failures)
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -281,11 +281,17 @@
         ("lease 1s", "a lease of 1s is shorter than two elections and a renewal; 2s or more would do"),
         ("margin 10ms", "a margin of 10ms: two clocks that drift may differ by more; 393ms to 5s would do"),
         ("margin 8s", "a margin of 8s leaves less than half of the lease to act in; 393ms to 5s would do"),
-        ("election 200ms", "an election after 200ms, with a heartbeat of 100ms; 300ms or more: one lost word is no lost leader"),
+        (
+            "election 200ms",
+            "an election after 200ms, with a heartbeat of 100ms; 300ms or more: one lost word is no lost leader",
+        ),
         ("keeper k4 10.0.0.1:7100", "two keepers at 10.0.0.1:7100; give each its own address"),
         ("keeper k4 10.0.0.4", "found '10.0.0.4'; host:port would do, as in 10.0.0.4:7100"),
         ("tasks movse", "found 'movse'; did you mean 'moves'?"),
-        ("tasks moves", "the task 'moves' without cells: there is nothing to move; add cells, or leave it out"),
+        (
+            "tasks moves",
+            "the task 'moves' without cells: there is nothing to move; add cells, or leave it out",
+        ),
         ("drift 40%", "no clock of use drifts that much; 2% would do"),
     ],
 )
@@ -297,6 +303,8 @@
 
 def test_a_keeper_without_a_store_is_told():
     around = Surroundings({}, gateway="k2")
-    with pytest.raises(UnusableOperatorFile, match=r"'k2' is a keeper and has no store; name a folder: store PATH"):
+    with pytest.raises(
+        UnusableOperatorFile, match=r"'k2' is a keeper and has no store; name a folder: store PATH"
+    ):
         read_operator_file(FLEET.format(""), "fleet.conf", around)
     assert read_operator_file(FLEET.format(""), "fleet.conf", Surroundings({}, gateway="g9")).fleet
