--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -187,9 +187,7 @@
             what = f"{told.copies.copies} copies on holders of {len(machines)} machines"
             yield wrong("copies", what, "name holders on as many machines: no two copies share one")
     elif told.remember is not None:
-        yield wrong(
-            "remember", "nothing is held without 'copies'", "copies 3 promise 2, and holders, would do"
-        )
+        yield wrong("remember", "nothing is held without 'copies'", "copies 3 promise 2, and holders")
     elif told.holders or COPIES in told.tasks:
         yield wrong("holder", "holders without 'copies'", "say on how many disks: copies 3 promise 2")
     pace, terms = told.pace, told.leases
--- a/tests/operator/test_operator_file.py
+++ b/tests/operator/test_operator_file.py
@@ -292,6 +292,7 @@
             "tasks moves",
             "the task 'moves' without cells: there is nothing to move; add cells, or leave it out",
         ),
+        ("remember 10m", "nothing is held without 'copies'; copies 3 promise 2, and holders"),
         ("drift 40%", "no clock of use drifts that much; 2% would do"),
     ],
 )
@@ -308,3 +309,10 @@
     ):
         read_operator_file(FLEET.format(""), "fleet.conf", around)
     assert read_operator_file(FLEET.format(""), "fleet.conf", Surroundings({}, gateway="g9")).fleet
+
+
+def test_the_shipped_file_of_copies_says_what_is_promised():
+    told = read_operator_file((SHIPPED.parent / "copies.conf").read_text(), "copies.conf").fleet
+    assert (told.copies.copies, told.copies.promise, told.copies.shards) == (3, 2, 64)
+    assert told.remember == 600_000_000
+    assert {each.machine for each in told.holders} == {"m1", "m2", "m3"}
