Leases of homes are tied to epochs, shards of any size are copied in parts, and holders have a bound

(2) by reading: a shard over 2 MB fits no frame and over 1 MB no record of the log, so it could never be copied anew. (3) with the new fault `lie` (a disk that comes back as it was a while ago) keys took effect twice. (4) by reading: every tick looked at every holding. Change: (1) the answer to a beacon carries the epochs of all shards, and a home of an older one is none any more; a home whose successor may be agreed on gets no longer lease, and a proposal whose answer was lost is made again. (2) fillings go in parts, each acknowledged, changes that come meanwhile are kept; a whole that a crash cut in two leaves what was there. (3) a home asks all disks that count where they stand, and makes room for one that has more. (4) one shard a tick. `holds SIZE` bounds what a holder takes.

--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -25,6 +25,7 @@
 from lotusstream.copies.shards import SHARDS, shard_of
 from lotusstream.lab.copies import play
 from lotusstream.lab.fleet.customers import Customers, Told
+from lotusstream.lab.fleet.keeping import Keeping
 from lotusstream.lab.fleet.rig import FleetRig, Gateway
 from lotusstream.lab.world import Broken
 from lotusstream.net.copies import CopyStore
@@ -110,6 +111,43 @@
         }
 
 
+async def recopy(keys: int) -> dict[str, Any]:
+    """A machine leaves as planned and comes back on an empty disk, among so many keys: until all is whole,
+    and what customers get meanwhile beside what they got before. (After a loss they wait for a lease too.)"""
+    async with FleetRig(
+        5, 3, seed=9, tasks=("copies",), directives=KEEPS, holders=True, engines=4
+    ) as rig, Keeping(rig) as keeping:  # fmt: skip
+        await rig.whole(SHARD_COUNT)
+        numbers = iter(range(keys))
+
+        async def fill() -> None:
+            for at in numbers:
+                await keeping.keep(keeping.holding(f"key-{at}", "g", b"x" * 60, lasts=3600))
+
+        began = time.monotonic()
+        await asyncio.gather(*(fill() for _ in range(256)))
+        filling = time.monotonic() - began
+        async with Customers(rig, 4, 9, profile="load") as customers:
+            await asyncio.sleep(5)
+            before = customers.told.answered / 5
+            lost = next(name for name in rig.names if name not in rig.keepers)
+            began, so_far = time.monotonic(), customers.told.answered
+            await rig.gateways[lost].leave()
+            rig.gateways[lost].wipe()
+            await rig.gateways[lost].start()
+            await rig.gateways[lost].ready()
+            await rig.whole(SHARD_COUNT)
+            took = time.monotonic() - began
+            meanwhile = (customers.told.answered - so_far) / took
+        return {
+            "recopy_keys": keys,
+            "recopy_s": took,
+            "keys_kept_per_s": keys / filling,
+            "foreground_kept_while_recopying": meanwhile / before,
+            "recopy_broken": len(customers.told.changed) + len(customers.told.forgotten),
+        }
+
+
 def _store(keys: int, folder: str, told: Any) -> None:
     """In a process of its own: what so many answered keys cost on disk and in memory, and to read again."""
 
@@ -154,6 +192,7 @@
     arguments.add_argument("--lost", type=int, default=100)
     arguments.add_argument("--seeds", type=int, default=10_000)
     arguments.add_argument("--keys", type=int, default=1_000_000)
+    arguments.add_argument("--recopy", type=int, default=100_000, help="keys beside which a machine is lost")
     arguments.add_argument("--span", type=float, default=8.0, help="seconds for each latency")
     told = arguments.parse_args(list(rest))
     lines, found = list[str](), dict[str, Any]()
@@ -164,6 +203,8 @@
             found |= {f"{name}_{key}": value for key, value in asyncio.run(latency(name, told.span)).items()}
         found["added_ms_p50"] = found["two_p50_ms"] - found["none_p50_ms"]
         found["added_ms_p99"] = found["two_p99_ms"] - found["none_p99_ms"]
+    if told.recopy:
+        found |= asyncio.run(recopy(told.recopy))
     if told.keys:
         found |= store(told.keys)
     with concurrent.futures.ProcessPoolExecutor(mp_context=multiprocessing.get_context("spawn")) as pool:
--- a/lotusstream/copies/manager.py
+++ b/lotusstream/copies/manager.py
@@ -17,24 +17,29 @@
 @dataclass(frozen=True, slots=True)
 class CopyTerms:
     """`copies`: disks for each shard, home included; `promise`: on how many of them a promise has to be.
-    `pace`: shards that are copied anew at a time. `shards`: into how many keys are divided."""
+    `pace`: shards that are copied anew at a time. `shards`: into how many keys are divided. `part`: bytes
+    that are told or written down as one, of what is copied whole. `most`: bytes that a holder has room for;
+    0: no bound."""
 
     copies: int
     promise: int
     leases: LeaseTerms
     pace: int = 4
     shards: int = SHARDS
+    part: int = 256 << 10
+    most: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Beacon:
     """`joined`: by shard, the epoch and those that its home has filled. `left`: this run promises nothing any
-    more and is about to end."""
+    more and is about to end. `yields`: by shard, the epoch and whose disk has more than this home's."""
 
     holder: Holder
     session: str
     joined: Mapping[int, tuple[int, tuple[Place, ...]]] = field(default_factory=dict)
     left: bool = False
+    yields: Mapping[int, tuple[int, Place]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,10 +87,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """To a beacon: the holder's lease counts from before it sent it."""
+    """To a beacon: the holder's lease counts from before it sent it. `epochs`: of all shards; in those that
+    are newer than it knows it is no home any more."""
 
     place: Place
     session: str
+    epochs: Mapping[int, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +122,9 @@
         self._terms, self._began = terms, now
         self.assigned = {each.shard: each for each in assigned}
         self._seen: dict[Place, _Seen] = {}
-        self._open: dict[int, int] = {}  # proposals that nothing is known of yet, since when
+        # proposals that nothing is known of yet, since when, and those that were not answered in time
+        self._open: dict[int, tuple[int, Assigned]] = {}
+        self._doubted: dict[int, Assigned] = {}
         self._now = self._looked = now
         self._told = (0, 0)
 
@@ -123,19 +132,26 @@
         out: list[Action] = []
         self._now = now
         lost = now - self._terms.leases.length // 2  # its answer was: the quorum takes no epoch twice
-        self._open = {shard: since for shard, since in self._open.items() if since > lost}
+        for shard, (since, proposed) in list(self._open.items()):
+            if since <= lost:
+                del self._open[shard]
+                self._doubted[shard] = proposed
         match event:
-            case Beacon(holder, session, joined, left):
+            case Beacon(holder, session, joined, left, yields):
                 known = self._seen.get(holder.place)
                 left = left or (known is not None and known.left and known.session == session)  # for good
                 self._seen[holder.place] = _Seen(holder, session, now, left)
-                out.append(Answer(holder.place, session))
+                if not self._deposing(holder.place):
+                    epochs = {shard: each.epoch for shard, each in self.assigned.items()}
+                    out.append(Answer(holder.place, session, epochs))
                 self._joined(joined, out)
+                self._yielded(yields, out)
             case Agreed(assigned):
                 self._open.pop(assigned.shard, None)
                 self._learn(assigned)
             case NotAgreed(shard, other):
-                self._open.pop(shard, None)
+                if (asked := self._open.pop(shard, None)) is not None:
+                    self._doubted[shard] = asked[1]
                 if other is not None:
                     self._learn(other)
             case Found(assigned):
@@ -151,6 +167,19 @@
         known = self.assigned.get(assigned.shard)
         if known is None or assigned.epoch > known.epoch:
             self.assigned[assigned.shard] = assigned
+        doubted = self._doubted.get(assigned.shard)
+        if doubted is not None and self.assigned[assigned.shard].epoch >= doubted.epoch:
+            del self._doubted[assigned.shard]
+
+    def _deposing(self, place: Place) -> bool:
+        """Whether another home in its place may be agreed on by now: its lease is not to be made longer."""
+        asked = [*(each for _, each in self._open.values()), *self._doubted.values()]
+        return any(
+            each.home != place
+            and (known := self.assigned.get(each.shard)) is not None
+            and known.home == place
+            for each in asked
+        )
 
     def _alive(self, now: int, place: Place) -> bool | None:
         """None where it can't be told yet: it may have a lease from the manager before."""
@@ -160,7 +189,7 @@
         return None if now - self._began < self._terms.leases.length else False
 
     def _propose(self, assigned: Assigned, out: list[Action]) -> None:
-        self._open[assigned.shard] = self._now
+        self._open[assigned.shard] = (self._now, assigned)
         out.append(Propose(assigned))
 
     def _joined(self, joined: Mapping[int, tuple[int, tuple[Place, ...]]], out: list[Action]) -> None:
@@ -176,12 +205,26 @@
                 next_one = Assigned(shard, epoch + 1, known.home, known.session, backups, left)
                 self._propose(next_one, out)
 
+    def _yielded(self, yields: Mapping[int, tuple[int, Place]], out: list[Action]) -> None:
+        """The home's disk came back with less than a copy's: they change places."""
+        for shard, (epoch, place) in sorted(yields.items()):
+            known = self.assigned.get(shard)
+            if known is None or known.epoch != epoch or place not in known.backups or shard in self._open:
+                continue
+            if self._alive(self._now, place):
+                backups = (known.home, *(each for each in known.backups if each != place))
+                session = self._seen[place].session
+                self._propose(Assigned(shard, epoch + 1, place, session, backups, known.joining), out)
+
     def _decide(self, now: int, out: list[Action]) -> None:
         alive = [each.holder for place, each in sorted(self._seen.items()) if self._alive(now, place)]
         if now - self._began >= self._terms.leases.length:  # all that there are have been heard by then
             for shard in range(self._terms.shards):
                 if shard not in self.assigned and shard not in self._open:
                     self._first(shard, alive, out)
+        for shard, proposed in list(self._doubted.items()):
+            if shard not in self._open:  # agreed on or not: one of them is in the end
+                self._propose(proposed, out)
         joining = sum(bool(each.joining and self._alive(now, each.home)) for each in self.assigned.values())
         for shard, known in sorted(self.assigned.items(), key=lambda each: (len(each[1].backups), each[0])):
             if shard not in self._open and not self._mend(now, known, out):
--- a/lotusstream/copies/messages.py
+++ b/lotusstream/copies/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from enum import IntEnum
 
 import msgspec
@@ -68,16 +69,43 @@
 
 
 class KeptWhole(Kept, frozen=True, tag="whole"):
-    """A shard in place of all that was known of it."""
+    """A shard in place of all that was known of it, once its last part is there. `part`: from 0 on; `parts`:
+    how many there are."""
 
     shard: int
     epoch: int
     seq: int
     holdings: tuple[Holding, ...]
+    part: int = 0
+    parts: int = 1
 
 
 Record = KeptOp | KeptWhole
 
+
+def size_of(holding: Holding) -> int:
+    """About so many bytes on a line or a disk."""
+    told = holding.key, holding.print, holding.gateway, holding.answer
+    return 64 + sum(map(len, told))
+
+
+def in_parts(holdings: Iterable[Holding], most: int) -> list[tuple[Holding, ...]]:
+    """One at least. Each of `most` bytes or a little more: frames and records are bounded."""
+    parts, part, size = list[tuple[Holding, ...]](), list[Holding](), 0
+    for each in holdings:
+        part.append(each)
+        size += size_of(each)
+        if size >= most:
+            parts.append(tuple(part))
+            part, size = [], 0
+    return [*parts, tuple(part)] if part or not parts else parts
+
+
+def kept_whole(shard: int, last: tuple[int, int], holdings: Iterable[Holding], most: int) -> list[KeptWhole]:
+    parts = in_parts(holdings, most)
+    return [KeptWhole(shard, *last, part, at, len(parts)) for at, part in enumerate(parts)]
+
+
 # Told
 
 
@@ -102,7 +130,8 @@
 
 
 class Fill(Word, frozen=True, tag="fill"):
-    """Everything, in place of what the copy has; or, with `after`, the changes that follow that one."""
+    """Everything, in place of what the copy has, one part after the other; or, with `after`, changes that
+    follow that one. `begun`: tells one filling from another."""
 
     shard: int
     epoch: int
@@ -111,6 +140,18 @@
     last_seq: int
     holdings: tuple[Holding, ...] = ()
     ops: tuple[Op, ...] = ()
+    part: int = 0
+    parts: int = 1
+    begun: int = 0
+
+
+class Filled(Word, frozen=True, tag="filled"):
+    """The copy has this part, not on its disk yet: the next one may come."""
+
+    shard: int
+    epoch: int
+    session: str
+    part: int
 
 
 class Copy(Word, frozen=True, tag="copy"):
@@ -135,4 +176,4 @@
     epoch: int
 
 
-AnyWord = Begin | Stand | Fill | Copy | Copied | Deposed
+AnyWord = Begin | Stand | Fill | Filled | Copy | Copied | Deposed
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -5,7 +5,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from lotusstream.copies import messages as ms
@@ -13,6 +13,7 @@
 from lotusstream.copies.messages import Assigned, Held, Holding, Op
 from lotusstream.copies.shards import Place, shard_of
 
+LATER = 10_000  # changes that are kept while a copy is being filled
 TAIL = 64  # changes that are kept to fill a copy that is a little behind
 AGAIN = 8  # tries in a lease to begin with a copy that does not answer
 
@@ -39,9 +40,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseFrom:
-    """A beacon was answered; it was sent at this time of this holder's clock."""
+    """A beacon was answered; it was sent at this time of this holder's clock. `epochs`: of all shards, as
+    whoever answered knows them."""
 
     sent: int
+    epochs: Mapping[int, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,12 +124,34 @@
 Action = Save | Say | Promised | Known | Unkept
 
 
+@dataclass(slots=True)
+class Filling:
+    """What a home is giving to a copy, one part after the other. `at`: the one that is out, since when."""
+
+    session: str
+    last: tuple[int, int]
+    parts: list[tuple[Holding, ...]]
+    begun: int
+    since: int
+    at: int = 0
+
+
+@dataclass(slots=True)
+class Incoming:
+    """What a copy has of that. `later`: changes that came meanwhile."""
+
+    begun: tuple[int, int, int, int]  # epoch and last change of what it is given, and which filling
+    parts: list[tuple[Holding, ...]] = field(default_factory=list)
+    later: list[Op] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class Shard:
     """`last`: epoch and number of the newest change here."""
 
     number: int
     holdings: dict[str, Holding] = field(default_factory=dict)
+    size: int = 0  # of the holdings, about so many bytes
     last: tuple[int, int] = (0, 0)
     tail: deque[Op] = field(default_factory=lambda: deque(maxlen=TAIL))
     assigned: Assigned | None = None
@@ -141,6 +166,12 @@
     waiting: deque[tuple[int, int, int]] = field(default_factory=deque)  # change, ticket, since when
     open_keys: dict[str, int] = field(default_factory=dict)  # keys whose change is not promised yet
     begun: int = 0
+    ahead: Place | None = None  # a copy that has more than this home
+    filling: dict[Place, Filling] = field(default_factory=dict)
+    incoming: Incoming | None = None
+
+    def backups(self) -> tuple[Place, ...]:
+        return self.assigned.backups if self.assigned else ()
 
     def copies(self) -> tuple[Place, ...]:
         return (*self.assigned.backups, *self.assigned.joining) if self.assigned else ()
@@ -148,10 +179,17 @@
     def apply(self, op: Op) -> None:
         self.last = (op.epoch, op.seq)
         self.tail.append(op)
+        known = self.holdings.get(op.holding.key)
+        self.size += ms.size_of(op.holding) - (ms.size_of(known) if known is not None else 0)
         self.holdings[op.holding.key] = op.holding
 
-    def whole(self, holdings: Iterable[Holding], last: tuple[int, int]) -> None:
+    def keep(self, holdings: Iterable[Holding]) -> None:
+        """These, and no others."""
         self.holdings = {each.key: each for each in holdings}
+        self.size = sum(map(ms.size_of, self.holdings.values()))
+
+    def whole(self, holdings: Iterable[Holding], last: tuple[int, int]) -> None:
+        self.keep(holdings)
         self.last, self.durable = last, 0
         self.tail.clear()
 
@@ -159,13 +197,18 @@
 def read_back(records: Iterable[ms.Record]) -> dict[int, Shard]:
     """What a disk holds."""
     shards: dict[int, Shard] = {}
+    begun: dict[int, list[Holding]] = {}
     for record in records:
         shard = shards.setdefault(record.shard, Shard(record.shard))
         match record:
             case ms.KeptOp(_, op):
                 shard.apply(op)
-            case ms.KeptWhole(_, epoch, seq, holdings):
-                shard.whole(holdings, (epoch, seq))
+            case ms.KeptWhole(number, epoch, seq, holdings, part, parts):
+                if not part:
+                    begun[number] = []
+                begun.setdefault(number, []).extend(holdings)
+                if part + 1 == parts:  # a crash in between leaves what was there before
+                    shard.whole(begun.pop(number), (epoch, seq))
         shard.durable = shard.last[1]
     return shards
 
@@ -184,6 +227,7 @@
         self._rests: deque[tuple[int, list[Action]]] = deque()
         self._marks: deque[tuple[int, dict[int, int]]] = deque()
         self._turn: list[Action] = []
+        self._swept = 0
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self._now, self._out, self._turn = max(now, self._now), [], []
@@ -194,7 +238,8 @@
                 self._persisted(number)
             case Learnt(assigned):
                 self._learn(assigned)
-            case LeaseFrom(sent):
+            case LeaseFrom(sent, epochs):
+                self._look_at(epochs)
                 self._until = max(self._until, sent + self._terms.leases.length - self._terms.leases.margin)
             case Claim(ticket, holding, unix, after):
                 self._claim(ticket, holding, unix, after)
@@ -228,10 +273,27 @@
                 found[shard.number] = (mine.epoch, ready)
         return found
 
+    def yields(self) -> dict[int, tuple[int, Place]]:
+        """For the beacon: shards of which another disk has more than this home."""
+        return {
+            shard.number: (shard.assigned.epoch, shard.ahead)
+            for shard in self.shards.values()
+            if shard.ahead is not None and shard.assigned is not None and self._home(shard)
+        }
+
     def _forget(self, unix: int) -> None:
-        for shard in self.shards.values():
+        """What is kept no longer, of one shard after the other: a shard with much in it costs its time."""
+        numbers = sorted(self.shards)
+        if numbers:
+            self._swept += 1
+            shard = self.shards[numbers[self._swept % len(numbers)]]
             if any(each.until <= unix for each in shard.holdings.values()):
-                shard.holdings = {key: each for key, each in shard.holdings.items() if each.until > unix}
+                shard.keep([each for each in shard.holdings.values() if each.until > unix])
+
+    @property
+    def size(self) -> int:
+        """Of all that is held here, about so many bytes."""
+        return sum(shard.size for shard in self.shards.values())
 
     # Writing down and telling
 
@@ -284,7 +346,8 @@
         if assigned.epoch < shard.last[0]:  # this run has not heard of it yet, its disk has: guards what is
             return False  # promised against a home of an earlier epoch that would fill it with what it has
         was_home = self._home(shard)
-        shard.assigned, shard.deposed = assigned, False
+        shard.assigned, shard.deposed, shard.ahead = assigned, False, None
+        shard.filling, shard.incoming = {}, None
         shard.reported &= set(assigned.joining)
         if not self._home(shard):
             if was_home or shard.waiting:
@@ -300,6 +363,15 @@
         shard.begun = 0
         return True
 
+    def _look_at(self, epochs: Mapping[int, int]) -> None:
+        """Guards what others have been given meanwhile: a home that was cut off gets a lease again before it
+        hears of the epochs that it missed."""
+        for shard in self.shards.values():
+            mine = shard.assigned
+            if mine is not None and self._home(shard) and epochs.get(shard.number, 0) > mine.epoch:
+                shard.deposed = True
+                self._deposed(shard, "another home has been agreed on")
+
     def _deposed(self, shard: Shard, why: str) -> None:
         """What was not promised is not known to be lost: its change may be on the next home's disk."""
         for _, ticket, _ in shard.waiting:
@@ -342,6 +414,10 @@
             self._out.append(Unkept(ticket, "too few disks are left for a promise", self.place.name))
         elif shard.waiting and self._now - shard.waiting[0][2] > self._terms.leases.length // 4:
             self._out.append(Unkept(ticket, "its copies do not answer", self.place.name))
+        elif shard.ahead is not None:
+            self._out.append(Unkept(ticket, "another disk has more", self.place.name))
+        elif self._terms.most and key not in shard.holdings and self.size >= self._terms.most:
+            self._out.append(Unkept(ticket, "this holder has no room for more", self.place.name))
         elif shard.promised < shard.since or any(each not in shard.copied for each in mine.backups):
             self._out.append(Unkept(ticket, "a copy is being filled", self.place.name))
         else:
@@ -403,13 +479,70 @@
         common = (last_epoch, last_seq) == shard.last or any(
             (op.epoch, op.seq) == (last_epoch, last_seq) for op in shard.tail
         )
-        ops = tuple(op for op in shard.tail if op.seq > last_seq) if common else ()
-        holdings = () if common else tuple(shard.holdings.values())
-        after = last_seq if common else -1
-        fill = ms.Fill(shard.number, mine.epoch, after, *shard.last, holdings, ops)
-        self._say(to, fill, rests=False)
         shard.sessions[to] = stand.session
         shard.copied[to] = -1
+        if common:
+            ops, size = list[Op](), 0
+            for op in shard.tail:
+                if op.seq > last_seq and size < self._terms.part:
+                    ops.append(op)
+                    size += ms.size_of(op.holding)
+            fill = ms.Fill(shard.number, mine.epoch, last_seq, *shard.last, (), tuple(ops))
+            self._say(to, fill, rests=False)
+            return
+        under_way = shard.filling.get(to)
+        if under_way is None or under_way.session != stand.session or self._stands_still(under_way):
+            parts = ms.in_parts(shard.holdings.values(), self._terms.part)
+            under_way = shard.filling[to] = Filling(stand.session, shard.last, parts, self._now, self._now)
+        self._say_part(shard, to, under_way)
+
+    def _stands_still(self, filling: Filling) -> bool:
+        return self._now - filling.since > self._terms.leases.length
+
+    def _say_part(self, shard: Shard, to: Place, filling: Filling) -> None:
+        assert shard.assigned is not None
+        part, at, count = filling.parts[filling.at], filling.at, len(filling.parts)
+        epoch, begun = shard.assigned.epoch, filling.begun
+        fill = ms.Fill(shard.number, epoch, -1, *filling.last, part, (), at, count, begun)
+        self._say(to, fill, rests=False)
+
+    def _filled(self, sender: Place, shard: Shard, told: ms.Filled) -> None:
+        filling = shard.filling.get(sender)
+        if filling is None or filling.session != told.session or told.part != filling.at:
+            return
+        filling.at, filling.since = filling.at + 1, self._now
+        if filling.at < len(filling.parts):
+            self._say_part(shard, sender, filling)
+        else:
+            del shard.filling[sender]
+
+    def _take_part(self, sender: Place, shard: Shard, fill: ms.Fill) -> None:
+        last = (fill.last_epoch, fill.last_seq)
+        if shard.last[0] == fill.epoch and fill.last_seq < shard.last[1]:
+            return  # overtaken by what followed it
+        begun = (fill.epoch, *last, fill.begun)
+        coming = shard.incoming
+        if coming is None or coming.begun != begun:
+            if fill.part:
+                return
+            coming = shard.incoming = Incoming(begun)
+        if fill.part > len(coming.parts):
+            return
+        self._say(sender, ms.Filled(shard.number, fill.epoch, self.session, fill.part), rests=False)
+        if fill.part < len(coming.parts):
+            return  # once more: its answer was lost
+        coming.parts.append(fill.holdings)
+        if len(coming.parts) < fill.parts:
+            return
+        shard.incoming = None
+        holdings = [each for part in coming.parts for each in part]
+        shard.whole(holdings, last)
+        self._save(*ms.kept_whole(shard.number, last, holdings, self._terms.part))
+        for op in coming.later:
+            if op.seq == shard.last[1] + 1:
+                shard.apply(op)
+                self._save(ms.KeptOp(shard.number, op))
+        self._say(sender, ms.Copied(shard.number, fill.epoch, self.session, shard.last[1]), rests=True)
 
     # Copy, and words of all kinds
 
@@ -427,31 +560,36 @@
                 shard = self._shard(number)
                 if not self._mine(shard, epoch) or sender not in shard.copies():
                     return
-                if (last_epoch, last_seq) == shard.last:  # it leaves only once that is on its disk
+                if (last_epoch, last_seq) > shard.last and sender in shard.backups():
+                    self._yield_to(shard, sender)
+                elif (last_epoch, last_seq) == shard.last:  # it leaves only once that is on its disk
                     shard.sessions[sender], shard.copied[sender] = session, last_seq
                 elif shard.sessions.get(sender) != session or shard.copied.get(sender, -1) < shard.last[1]:
                     self._fill(shard, sender, word)
-            case ms.Fill(number, epoch, after, last_epoch, last_seq, holdings, ops):
+            case ms.Fill(number, epoch, after, _, _, _, ops):
                 shard = self._shard(number)
                 if not self._follows(sender, shard, epoch):
                     return
                 if after < 0:
-                    if shard.last[0] == epoch and last_seq < shard.last[1]:
-                        return  # overtaken by what followed it
-                    shard.whole(holdings, (last_epoch, last_seq))
-                    self._save(ms.KeptWhole(number, last_epoch, last_seq, holdings))
-                elif shard.last[1] != after:
+                    self._take_part(sender, shard, word)
+                    return
+                if shard.last[1] != after:
                     return
-                else:
-                    for op in ops:
-                        shard.apply(op)
-                        self._save(ms.KeptOp(number, op))
+                for op in ops:
+                    shard.apply(op)
+                    self._save(ms.KeptOp(number, op))
                 self._say(sender, ms.Copied(number, epoch, self.session, shard.last[1]), rests=True)
+            case ms.Filled(number, epoch, _, _):
+                shard = self._shard(number)
+                if self._mine(shard, epoch):
+                    self._filled(sender, shard, word)
             case ms.Copy(number, epoch, op):
                 shard = self._shard(number)
                 if not self._follows(sender, shard, epoch):
                     return
-                if op.seq != shard.last[1] + 1:
+                if shard.incoming is not None and len(shard.incoming.later) < LATER:
+                    shard.incoming.later.append(op)
+                if op.seq != shard.last[1] + 1 or shard.incoming is not None:
                     return  # one before it was lost, or it came twice: the home begins anew with this copy
                 shard.apply(op)
                 self._save(ms.KeptOp(number, op))
@@ -466,6 +604,12 @@
                     shard.deposed = True
                     self._deposed(shard, "a later epoch has begun")
 
+    def _yield_to(self, shard: Shard, sender: Place) -> None:
+        """Guards promises against a disk that lied: this one came back with less than it had said to have. A
+        copy that counts has more, so it is to be the home; the manager hears of it by the next beacon."""
+        shard.ahead = sender
+        self._deposed(shard, "another disk has more")
+
     def _mine(self, shard: Shard, epoch: int) -> bool:
         return self._home(shard) and shard.assigned is not None and shard.assigned.epoch == epoch
 
--- a/lotusstream/lab/copies.py
+++ b/lotusstream/lab/copies.py
@@ -21,7 +21,7 @@
 
 FAILED = b"may have run"
 ONCE = "once"  # the end of keys whose commands may run once only
-TERMS = CopyTerms(3, 2, LeaseTerms(1 * S, 125 * MS, 0.05), 2, 4)
+TERMS = CopyTerms(3, 2, LeaseTerms(1 * S, 125 * MS, 0.05), 2, 4, 300)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -46,7 +46,18 @@
     sync: int = 5 * MS
     repeat: float = 0.4  # the share of answered commands that are asked again
     patience: int = 1500 * MS  # of a client, until it asks another gateway
-    faults: tuple[str, ...] = ("crash", "cut", "one-way", "stop", "lose", "lose", "manager", "power", "leave")
+    faults: tuple[str, ...] = (
+        "crash",
+        "cut",
+        "one-way",
+        "stop",
+        "lose",
+        "lose",
+        "manager",
+        "power",
+        "leave",
+        "lie",
+    )
 
 
 @dataclass(slots=True)
@@ -59,11 +70,11 @@
     def __init__(self, name: str, world: CopyWorld) -> None:
         super().__init__(name, world.draw, world.scene.terms.leases.drift)
         self.disk, self.disk_name = Disk(), ""
+        self.lied_until = 0  # until others have filled it anew
         self.replicas: Replicas
         self.holder: Holder
         self.claims: cl.Claims
         self.flows: dict[int, Flow] = {}
-        self.beacon: dict[str, int] = {}
 
 
 class Flow:
@@ -219,7 +230,8 @@
         self._decide(mg.Tick())
         self.after(50 * MS, self._on(self.chief, self._manage))
 
-    def _decide(self, event: Any) -> None:
+    def _decide(self, event: Any, sent: int = 0) -> None:
+        """`sent`: by its holder's clock, where it is a beacon."""
         for action in self.manager.handle(self.chief.clock(self.now), event):
             match action:
                 case mg.Propose(assigned):
@@ -228,9 +240,9 @@
                 case mg.LookUp():
                     manager = self.manager
                     self.after(self.draw.randint(5 * MS, 30 * MS), self._finding(manager))
-                case mg.Answer(place, session):
+                case mg.Answer(place, session, epochs):
                     node = self.gateways[place.name]
-                    self._deliver(self.chief, node, self._leasing(node, session))
+                    self._deliver(self.chief, node, self._leasing(node, session, sent, epochs))
 
     def _agreeing(self, manager: Manager, assigned: Assigned) -> Callable[[], None]:
         """The quorum: one after the other, whoever was proposed first."""
@@ -259,21 +271,21 @@
         node = self.gateways[place.name]
         self._deliver(self.chief, node, lambda: self._tell(node, rp.Learnt(assigned)))
 
-    def _leasing(self, node: GatewayNode, session: str) -> Callable[[], None]:
+    def _leasing(self, node: GatewayNode, session: str, sent: int, epochs: Any) -> Callable[[], None]:
         def lease() -> None:
-            sent = node.beacon.get(session)
-            if sent is not None and session == node.replicas.session:
-                self._tell(node, rp.LeaseFrom(sent))
+            if session == node.replicas.session:
+                self._tell(node, rp.LeaseFrom(sent, epochs))
 
         return lease
 
     def _beacon(self, node: GatewayNode) -> None:
-        """The lease counts from the beacon before the one that may be answered by now: never too late."""
+        """The lease counts from when the beacon was sent that is answered."""
         now = node.clock(self.now)
         joined = node.replicas.joined()
-        beacon = mg.Beacon(node.holder, node.replicas.session, joined, node.replicas.left)
-        node.beacon = {node.replicas.session: node.beacon.get("next", now), "next": now}
-        self._deliver(node, self.chief, lambda: self._decide(beacon))
+        beacon = mg.Beacon(
+            node.holder, node.replicas.session, joined, node.replicas.left, node.replicas.yields()
+        )
+        self._deliver(node, self.chief, lambda: self._decide(beacon, now))
         for assigned in self.agreed.values():
             if node.holder.place in assigned.all and self.draw.random() < 0.3:
                 self._learning(node.holder.place, assigned)
@@ -482,16 +494,36 @@
         self.after(1200 * MS, lambda: None if self.chief.up else self.again(self.chief))
 
     def _intact(self, place: Place) -> bool:
-        return self.gateways[place.name].disk_name == place.disk
+        node = self.gateways[place.name]
+        return node.disk_name == place.disk and self.now >= node.lied_until
 
-    def _fault_lose(self) -> None:
-        """A machine with its disk, as often as is promised: the disks that count for what it held are all
-        there. One of them may be cut off, and left out before the loss is known: so not the last but one."""
-        node = self.draw.choice(list(self.gateways.values()))
+    def _may_lose(self, node: GatewayNode) -> bool:
+        """As often as is promised: the disks that count for what it held are all there. One may be cut off,
+        and left out before the loss is known: so not the last but one."""
         for assigned in self.agreed.values():
             counted = (assigned.home, *assigned.backups)
             if node.holder.place in counted and not all(map(self._intact, counted)):
-                return
+                return False
+        return True
+
+    def _fault_lie(self) -> None:
+        """Its disk had said that it had what it had not: it comes back as it was a while ago. Nobody can tell
+        this from a whole one before all disks that count have spoken: borne as the only fault at a time."""
+        node = self.draw.choice(list(self.gateways.values()))
+        others_speak = all(each.up and not each.stopped for each in self.nodes()) and not self.cuts
+        if others_speak and self._may_lose(node):
+            self._calm_until = self.now + 5 * S
+            self.down(node)
+            kept = len(node.disk.synced) - self.draw.randint(1, 30)
+            node.disk.synced = node.disk.synced[: max(0, kept)]
+            node.lied_until = self.now + 6 * S
+            self.back(node, 2 * S)
+
+    def _fault_lose(self) -> None:
+        """A machine with its disk."""
+        node = self.draw.choice(list(self.gateways.values()))
+        if not self._may_lose(node):
+            return
         self.judge.lost_machines += 1
         self.down(node)
         node.disk, node.disk_name = Disk(), ""
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -157,7 +157,8 @@
             self._beats = {number: at for number, at in kept if now - at < self._terms.leases.length}
             self._beats[self._beat] = now
             told, joined = self.replicas, self.replicas.joined()
-            self._tell(self.manager, wire.Beat(self._beat, self.holder, told.session, joined, told.left))
+            beat = wire.Beat(self._beat, self.holder, told.session, joined, told.left, told.yields())
+            self._tell(self.manager, beat)
 
     def leave(self) -> None:
         """A planned stop: others are home of its shards at once, not only once its lease is over."""
@@ -186,13 +187,13 @@
                 else:
                     self._take(rp.Claim(self._ticket, frame.holding, unix, frame.after))
             case _Beaten(frame):
+                for assigned in frame.assigned:
+                    self._take(rp.Learnt(assigned))
                 sent = self._beats.get(frame.number)
                 if sent is not None:
                     self._answered = clock.boot_clock()
                     self.homes = dict(frame.homes)
-                    self._take(rp.LeaseFrom(sent))
-                for assigned in frame.assigned:
-                    self._take(rp.Learnt(assigned))
+                    self._take(rp.LeaseFrom(sent, frame.epochs))
             case rp.Leave():
                 self._take(message)
                 self._beacon()
@@ -240,9 +241,11 @@
         self._saving = False
 
     def _whole(self) -> list[ms.Record]:
+        most = self._terms.part
         return [
-            ms.KeptWhole(shard.number, *shard.last, tuple(shard.holdings.values()))
+            record
             for shard in self.replicas.shards.values()
+            for record in ms.kept_whole(shard.number, shard.last, shard.holdings.values(), most)
         ]
 
     def view(self) -> dict[str, Any]:
@@ -265,6 +268,7 @@
             "manager": self.manager,
             "leased": self.replicas.leased,
             "trouble": self._failed,
+            "size": self.replicas.size,
             "shards": rows,
         }
 
@@ -322,18 +326,18 @@
             return
         if isinstance(message, wire.Beat):
             self._waiting[message.holder.place, message.session] = message.number
-            message = mg.Beacon(message.holder, message.session, message.joined, message.left)
+            message = mg.Beacon(message.holder, message.session, message.joined, message.left, message.yields)
         for action in manager.handle(clock.boot_clock(), message):
             match action:
                 case mg.Propose(assigned):
                     self.supervisor.start("assigning", self._propose(assigned, self._token))
                 case mg.LookUp():
                     self.supervisor.start("assignments", self._look_up())
-                case mg.Answer(place, session):
+                case mg.Answer(place, session, epochs):
                     number = self._waiting.pop((place, session), 0)
                     mine = tuple(each for each in manager.assigned.values() if place in each.all)
                     homes = {shard: each.home for shard, each in manager.assigned.items()}
-                    self._tell(place.name, wire.Beaten(number, mine, homes))
+                    self._tell(place.name, wire.Beaten(number, mine, homes, dict(epochs)))
                 case mg.Endangered(thin, lost):
                     text = f"{thin} shards bear no further loss, {lost} have nobody left"
                     severity = "warning" if thin or lost else "info"
--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -10,7 +10,7 @@
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.operator.grammar import Word
 from lotusstream.operator.problems import Problem, nearest
-from lotusstream.operator.tree import Argument, Directive, Node, Unfit, name, number, path, share, time
+from lotusstream.operator.tree import Argument, Directive, Node, Unfit, name, number, path, share, size, time
 from lotusstream.operator.units import write_time
 from lotusstream.quorum.keeper import Pace
 
@@ -103,6 +103,8 @@
                   (Argument("a number", number(1, 512)),)),
         Directive("remember", "how long answers of commands with a mark are held for their repeats",
                   (Argument("a time", time),)),
+        Directive("holds", "for how many bytes of others a holder has room; without it there is no bound",
+                  (Argument("a size", size),)),
         Directive("store", "the folder of this keeper's log", (Argument("a path", path),)),
         Directive("listen", "where this keeper takes peers, if not at its own address above",
                   (Argument("an address", address),)),
@@ -156,7 +158,9 @@
         return None
     shards = block.value("shards", "a number", SHARDS)
     repairs = block.value("repairs", "a number", 4)
-    return CopyTerms(node.values["a number"], node.values["a promise"], leases, repairs, shards)
+    most = block.value("holds", "a size", 0)
+    copies, promise = node.values["a number"], node.values["a promise"]
+    return CopyTerms(copies, promise, leases, repairs, shards, most=most)
 
 
 def _wrong(file: str, block: Node, told: FleetText) -> Iterator[Problem]:
--- a/lotusstream/protocol/peers.py
+++ b/lotusstream/protocol/peers.py
@@ -86,21 +86,23 @@
 
 class Beat(Frame, frozen=True, tag="beat"):
     """A holder's beacon to whoever decides on homes. `joined`: by shard, epoch and whom it has filled.
-    `left`: it promises nothing any more."""
+    `left`: it promises nothing any more. `yields`: by shard, epoch and whose disk has more."""
 
     number: int
     holder: Holder
     session: str
     joined: dict[int, tuple[int, tuple[Place, ...]]]
     left: bool = False
+    yields: dict[int, tuple[int, Place]] = {}
 
 
 class Beaten(Frame, frozen=True, tag="beaten"):
-    """The answer: what this holder has to do with, and all homes."""
+    """The answer: what this holder has to do with, all homes, and the epochs of all shards."""
 
     number: int
     assigned: tuple[Assigned, ...]
     homes: dict[int, Place]
+    epochs: dict[int, int] = {}
 
 
 class Keep(Frame, frozen=True, tag="keep"):
--- a/tests/copies/test_copies.py
+++ b/tests/copies/test_copies.py
@@ -1,5 +1,7 @@
 """What is promised survives the loss of machines with their disks, on a virtual clock."""
 
+from dataclasses import replace
+
 import pytest
 
 from benchmarks.planted_copies import PLANTED, caught
@@ -84,3 +86,76 @@
     leaving.handle(2, rp.Leave())
     leaving.handle(3, rp.LeaseFrom(3))  # answered to an earlier beacon
     assert not leaving.leased
+
+
+def test_a_home_that_was_cut_off_says_nothing_of_shards_that_were_given_to_others_meanwhile():
+    """Seed 843: its lease was renewed before it heard of the epochs that it had missed."""
+    shard = shard_of("key", TERMS.shards)
+    sent = ms.Holding("key", "p", ms.Held.SENT, "g", 1 << 60)
+    home = rp.Replicas(HOME, "s", TERMS, rp.read_back([ms.KeptOp(shard, ms.Op(4, 1, sent))]), 0)
+    home.handle(0, rp.Learnt(ms.Assigned(shard, 4, HOME, "s", (COPY,))))
+    home.handle(0, rp.LeaseFrom(0, {shard: 4}))
+    home.handle(0, rp.Heard(COPY, ms.Stand(shard, 4, "c", 4, 1)))
+    assert rp.Known(1, sent) in home.handle(1, rp.Claim(1, sent_by("another"), 1))
+    home.handle(TERMS.leases.length, rp.LeaseFrom(TERMS.leases.length, {shard: 5}))
+    assert home.leased
+    told = home.handle(TERMS.leases.length, rp.Claim(2, sent_by("another"), 1))
+    assert [type(each) for each in told if isinstance(each, rp.Known | rp.Unkept)] == [rp.Unkept]
+
+
+def sent_by(owner):
+    return ms.Holding("key", "p", ms.Held.SENT, owner, 1 << 60)
+
+
+def test_a_home_gets_no_lease_while_another_in_its_place_may_be_agreed_on():
+    names = {"g1": "d1", "g2": "d2", "g3": "d3"}
+    holders = {name: holder(name, name, "z", disk) for name, disk in names.items()}
+    manager = mg.Manager(TERMS, [ms.Assigned(0, 4, HOME, "g1", (COPY, OLD))], 0)
+    for name, each in holders.items():
+        manager.handle(0, mg.Beacon(each, name))
+    late = TERMS.leases.length
+    manager.handle(late - 1, mg.Beacon(holders["g2"], "g2"))
+    told = manager.handle(late, mg.Beacon(holders["g3"], "g3"))
+    (asked,) = [a.assigned for a in told if isinstance(a, mg.Propose) and a.assigned.shard == 0]
+    assert asked.home == COPY
+    told = manager.handle(late + 1, mg.Beacon(holders["g1"], "g1"))
+    assert not [each for each in told if isinstance(each, mg.Answer)]
+    manager.handle(late + 2, mg.NotAgreed(0, None))  # its answer was lost: asked for again
+    told = manager.handle(late + 3, mg.Beacon(holders["g1"], "g1"))
+    assert not [each for each in told if isinstance(each, mg.Answer)]
+    manager.handle(late + 4, mg.Agreed(asked))
+    told = manager.handle(late + 5, mg.Beacon(holders["g1"], "g1"))
+    assert [each.epochs for each in told if isinstance(each, mg.Answer)] == [{0: 5}]
+
+
+def test_a_home_whose_disk_came_back_with_less_makes_room_for_whoever_has_more():
+    shard = shard_of("key", TERMS.shards)
+    home = rp.Replicas(HOME, "s", TERMS, {}, 0)  # rolled back to nothing
+    home.handle(0, rp.Learnt(ms.Assigned(shard, 4, HOME, "s", (COPY,))))
+    home.handle(0, rp.LeaseFrom(0, {shard: 4}))
+    told = home.handle(1, rp.Heard(COPY, ms.Stand(shard, 4, "c", 3, 9)))
+    assert not [each for each in told if isinstance(each, rp.Say) and isinstance(each.word, ms.Fill)]
+    assert home.yields() == {shard: (4, COPY)}
+    manager = mg.Manager(TERMS, [ms.Assigned(shard, 4, HOME, "g1", (COPY,))], 0)
+    manager.handle(1, mg.Beacon(holder("g2", "g2", "z", "d2"), "g2"))
+    told = manager.handle(2, mg.Beacon(holder("g1", "g1", "z", "d1"), "g1", yields=home.yields()))
+    (asked,) = [action.assigned for action in told if isinstance(action, mg.Propose)]
+    assert (asked.home, asked.backups) == (COPY, (HOME,))
+
+
+def test_a_holder_without_room_takes_no_new_key_and_finishes_those_that_it_has():
+    shard = shard_of("key", TERMS.shards)
+    old = ms.Holding("key", "p", ms.Held.SENT, "g", 1 << 60)
+    kept = rp.read_back([ms.KeptOp(shard, ms.Op(4, 1, old))])
+    terms = replace(TERMS, promise=1, most=1)
+    home = rp.Replicas(HOME, "s", terms, kept, 0)
+    home.handle(0, rp.Learnt(ms.Assigned(shard, 4, HOME, "s")))
+    home.handle(0, rp.LeaseFrom(0, {shard: 4}))
+    other = next(f"k{at}" for at in range(99) if shard_of(f"k{at}", TERMS.shards) == shard)
+    told = home.handle(1, rp.Claim(1, ms.Holding(other, "p", ms.Held.SENT, "g", 1 << 60), 1))
+    assert [each.why for each in told if isinstance(each, rp.Unkept)] == ["this holder has no room for more"]
+    answered = ms.Holding("key", "p", ms.Held.ANSWERED, "g", 1 << 60, b"rows")
+    assert [each for each in home.handle(1, rp.Finish(2, answered, 1)) if isinstance(each, rp.Save)]
+    for _ in range(len(home.shards)):
+        home.handle(2, rp.Tick(1 << 61))  # kept no longer
+    assert home.size == 0
--- a/tests/fleet/test_copies_on_processes.py
+++ b/tests/fleet/test_copies_on_processes.py
@@ -152,3 +152,20 @@
     rig.gateways[copy].set_disk("full")
     await answered(keeping, [f"more-{at}" for at in range(4)])
     await all_known(keeping)
+
+
+async def test_shards_longer_than_a_frame_are_copied_anew_in_parts(fleet):
+    rig, keeping = fleet
+    await whole(rig)
+    keys = [f"long-{at}" for at in range(240)]  # of 48,000 bytes each, in four shards
+    for key in keys:
+        answer = f"answer to {key}".encode().ljust(48_000)
+        assert (await keeping.keep(keeping.holding(key, "g", answer))).what == "promised"
+    lost = keeping.home
+    await lose(rig, lost)
+    await rig.gateways[lost].start()
+    await rig.gateways[lost].ready()
+    await rig.whole(4)
+    for key in keys[::12]:
+        told = await keeping.keep(keeping.holding(key, "another"))
+        assert told.holding.answer.strip() == f"answer to {key}".encode()
