Stories of a rolled-back disk, a lost zone and a key that is kept no longer

Need: hard cases of copies without a story on processes. Change: three stories on five processes each: a home whose disk comes back as it was before, two machines of one zone lost with their disks, a disk that comes back with a key that is kept no longer.

--- a/tests/fleet/test_copies_on_processes.py
+++ b/tests/fleet/test_copies_on_processes.py
@@ -169,3 +169,53 @@
     for key in keys[::12]:
         told = await keeping.keep(keeping.holding(key, "another"))
         assert told.holding.answer.strip() == f"answer to {key}".encode()
+
+
+async def test_a_home_whose_disk_comes_back_as_it_was_before_makes_room_for_a_copy_that_has_all(fleet):
+    rig, keeping = fleet
+    await answered(keeping, ["first"])
+    home = keeping.home
+    older = rig.gateways[home].copy_disk()
+    await answered(keeping)
+    await rig.gateways[home].kill()
+    rig.gateways[home].roll_back(older)
+    await rig.gateways[home].start()
+    await rig.gateways[home].ready()
+    await all_known(keeping)
+    await whole(rig)
+    await all_known(keeping)
+
+
+async def test_a_whole_zone_is_lost_with_its_disks(fleet):
+    """Copies lie in as many zones as there are: each shard loses one."""
+    rig, keeping = fleet
+    await rig.whole(4)
+    await answered(keeping)
+    zone = [name for name in rig.names if int(name[1:]) % 3 == 1]
+    assert len(zone) == 2
+    for name in zone:
+        await lose(rig, name)
+    await all_known(keeping)
+    for name in zone:
+        await rig.gateways[name].start()
+        await rig.gateways[name].ready()
+    await rig.whole(4)
+    await all_known(keeping)
+
+
+async def test_a_key_that_is_kept_no_longer_does_not_rise_with_a_disk_that_comes_back(fleet):
+    rig, keeping = fleet
+    await rig.whole(4)
+    old = keeping.holding("short", "g", b"an answer", lasts=1.5)
+    assert (await keeping.keep(old)).what == "promised"
+    gone = keeping.home
+    await rig.gateways[gone].kill()
+    async with asyncio.timeout(20):  # by the time of day alone
+        while (told := await keeping.keep(keeping.holding("short", "anew"))).what == "known":
+            assert told.holding == old
+            await asyncio.sleep(0.2)
+    await rig.gateways[gone].start()
+    await rig.gateways[gone].ready()
+    await rig.whole(4)
+    told = await keeping.keep(keeping.holding("short", "third"))
+    assert (told.what, told.holding.gateway) == ("known", "anew")
