ctl copies drain: a machine holds nothing once others have it

Need: a machine that is switched off for long took one copy of each of its shards along. Change: the machines that are to hold nothing are a note in the quorum under the token of `copies`; the manager gives their shards to others first and then leaves them out. A shard that went to others is no longer listed by who had it.

--- a/lotusstream/cli/ctl_fleet.py
+++ b/lotusstream/cli/ctl_fleet.py
@@ -16,11 +16,22 @@
     gateway_of(context).show(gateway_of(context).ask(wire.Peers()), render.peers)
 
 
-@ctl.command()
+@ctl.group(invoke_without_command=True)
 @click.pass_context
 def copies(context: click.Context) -> None:
     """What this gateway holds for others: shards, their homes and copies."""
-    gateway_of(context).show(gateway_of(context).ask(wire.Copies()), render.copies)
+    if context.invoked_subcommand is None:
+        gateway_of(context).show(gateway_of(context).ask(wire.Copies()), render.copies)
+
+
+@copies.command()
+@click.argument("machine")
+@click.option("--undo", is_flag=True, help="The machine may hold things again.")
+@click.pass_context
+def drain(context: click.Context, machine: str, undo: bool) -> None:
+    """Copy what MACHINE holds elsewhere, then leave it out: before it is switched off for long. Asked of the
+    gateway that decides on copies; ask again to see how many shards are left."""
+    gateway_of(context).show(gateway_of(context).ask(wire.Drain(machine, undo)), render.drained)
 
 
 @ctl.group()
--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -225,6 +225,11 @@
     return Group(_pairs(rows), "", table)
 
 
+def drained(told: Mapping[str, Any]) -> RenderableType:
+    machines = ", ".join(told["drained"]) or "none"
+    return _pairs([("hold nothing", machines), ("shards still there", str(told["shards_left"]))])
+
+
 def _same(mine: Mapping[str, Any], note: Mapping[str, Any]) -> bool:
     return bool(mine["version"] == note["version"] and mine["value"] == note["value"])
 
--- a/lotusstream/copies/manager.py
+++ b/lotusstream/copies/manager.py
@@ -69,7 +69,14 @@
     pass
 
 
-Event = Beacon | Agreed | NotAgreed | Found | Tick
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """Machines that are to hold nothing: what they have goes elsewhere first. Agreed on before."""
+
+    machines: frozenset[str]
+
+
+Event = Beacon | Agreed | NotAgreed | Found | Drained | Tick
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,6 +134,7 @@
         self._doubted: dict[int, Assigned] = {}
         self._now = self._looked = now
         self._told = (0, 0)
+        self.drained = frozenset[str]()
 
     def handle(self, now: int, event: Event) -> list[Action]:
         out: list[Action] = []
@@ -154,6 +162,8 @@
                     self._doubted[shard] = asked[1]
                 if other is not None:
                     self._learn(other)
+            case Drained(machines):
+                self.drained = machines
             case Found(assigned):
                 for each in assigned:
                     self._learn(each)
@@ -188,6 +198,11 @@
             return now - seen.at < self._terms.leases.length and not seen.left
         return None if now - self._began < self._terms.leases.length else False
 
+    def _stays(self, place: Place) -> bool:
+        """Not on a machine that is to hold nothing."""
+        seen = self._seen.get(place)
+        return seen is None or seen.holder.machine not in self.drained
+
     def _propose(self, assigned: Assigned, out: list[Action]) -> None:
         self._open[assigned.shard] = (self._now, assigned)
         out.append(Propose(assigned))
@@ -217,7 +232,11 @@
                 self._propose(Assigned(shard, epoch + 1, place, session, backups, known.joining), out)
 
     def _decide(self, now: int, out: list[Action]) -> None:
-        alive = [each.holder for place, each in sorted(self._seen.items()) if self._alive(now, place)]
+        alive = [
+            each.holder
+            for place, each in sorted(self._seen.items())
+            if self._alive(now, place) and self._stays(place)
+        ]
         if now - self._began >= self._terms.leases.length:  # all that there are have been heard by then
             for shard in range(self._terms.shards):
                 if shard not in self.assigned and shard not in self._open:
@@ -251,15 +270,18 @@
         heirs = [place for place in known.backups if states[place]]
         if lost_home and not heirs:
             return False
-        new_home = heirs[0] if heirs and (lost_home or anew) else known.home
-        counted = [new_home, *(each for each in (known.home, *known.backups) if each != new_home)]
+        staying = [place for place in heirs if self._stays(place)]
+        drained = not self._stays(known.home) and len(staying) >= self._terms.copies
+        new_home = (staying or heirs)[0] if heirs and (lost_home or anew or drained) else known.home
+        others = [each for each in (known.home, *known.backups) if each != new_home]
+        counted = [new_home, *sorted(others, key=lambda place: not self._stays(place))]
         silent = [place for place in counted[1:] if states[place] is False]
         for place in sorted(silent, key=self._since):  # the longest gone is the least likely to come back
             if len(counted) > self._terms.promise:
                 counted.remove(place)
         del counted[self._terms.copies :]  # a silent one that was kept has come back beside its successor
         joining = tuple(place for place in known.joining if states[place] is not False)
-        session = self._seen[new_home].session if lost_home or anew else known.session
+        session = self._seen[new_home].session if new_home != known.home or anew else known.session
         new = Assigned(known.shard, known.epoch + 1, new_home, session, tuple(counted[1:]), joining)
         if (new.home, new.session, set(new.backups), new.joining) == (
             known.home, known.session, set(known.backups), known.joining
@@ -277,7 +299,7 @@
             return 0
         live = {each.place for each in alive}
         here = [self._seen[place].holder for place in known.all if place in live]
-        if known.home not in live or len(here) >= self._terms.copies:
+        if not self._alive(self._now, known.home) or len(here) >= self._terms.copies:
             return 0
         others = [each for each in alive if each.place not in known.all]
         new = placed(known.shard, others, self._terms.copies, here)
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -368,9 +368,10 @@
         hears of the epochs that it missed."""
         for shard in self.shards.values():
             mine = shard.assigned
-            if mine is not None and self._home(shard) and epochs.get(shard.number, 0) > mine.epoch:
+            if mine is not None and epochs.get(shard.number, 0) > mine.epoch:
+                if self._home(shard):
+                    self._deposed(shard, "another home has been agreed on")
                 shard.deposed = True
-                self._deposed(shard, "another home has been agreed on")
 
     def _deposed(self, shard: Shard, why: str) -> None:
         """What was not promised is not known to be lost: its change may be on the next home's disk."""
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -24,12 +24,14 @@
 from lotusstream.net import clock, keeper
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.connection import US
+from lotusstream.net.control import Refused
 from lotusstream.net.tasks import Around
 from lotusstream.protocol import peers as wire
 from lotusstream.record.log import CorruptLog, DiskTrouble, Log
 
 FILE = "copies.log"
 NOTE = "shard/"
+DRAINED = "drained"  # machines that are to hold nothing
 _ASSIGNED: msgspec.json.Decoder[Assigned] = msgspec.json.Decoder(Assigned)
 
 
@@ -252,7 +254,7 @@
         """For people."""
         rows = []
         for shard in self.replicas.shards.values():
-            if (mine := shard.assigned) is not None:
+            if (mine := shard.assigned) is not None and not shard.deposed:
                 rows.append(
                     {
                         "shard": shard.number, "epoch": mine.epoch, "home": mine.home.name,
@@ -286,6 +288,7 @@
         self._manager: Manager | None = None
         self._token = 0
         self._waiting: dict[tuple[Place, str], int] = {}
+        self._machines: dict[Place, str] = {}
         self._work: asyncio.Task[None] | None = None
         self._running = False
 
@@ -308,6 +311,7 @@
         if self._around.may_act() != token:
             return
         self._manager = Manager(self._terms, self._assigned(view), clock.boot_clock())
+        self.post(mg.Drained(self._drained(view)))
         while True:
             self.post(mg.Tick())
             await asyncio.sleep(self._terms.leases.length / US / 20)
@@ -316,9 +320,35 @@
         notes = view["notes"].items()
         return tuple(_ASSIGNED.decode(note["value"]) for key, note in notes if key.startswith(NOTE))
 
+    def _drained(self, view: dict[str, Any]) -> frozenset[str]:
+        note = view["notes"].get(DRAINED)
+        return frozenset(msgspec.json.decode(note["value"], type=list[str])) if note else frozenset()
+
+    @property
+    def decides(self) -> bool:
+        return self._manager is not None and bool(self._token)
+
+    async def drain(self, machine: str, undo: bool) -> dict[str, Any]:
+        """Agreed on first, so that whoever decides next knows it. Raises Refused."""
+        if (view := await self._look()) is None:
+            raise Refused("busy", "the quorum does not answer")
+        machines = self._drained(view)
+        machines = machines - {machine} if undo else machines | {machine}
+        note = view["notes"].get(DRAINED)
+        version = note["version"] + 1 if note else 1
+        value = msgspec.json.encode(sorted(machines)).decode()
+        if why := await self._put(DRAINED, version, value, self._token):
+            raise Refused("busy", why)
+        self.post(mg.Drained(machines))
+        assigned = self._manager.assigned.values() if self._manager else ()
+        seen = {place.name: machine for place, machine in self._machines.items()}
+        left = sum(any(seen.get(place.name) in machines for place in each.all) for each in assigned)
+        return {"drained": sorted(machines), "shards_left": left}
+
     async def _look_up(self) -> None:
         if (view := await self._look()) is not None:
             self.post(mg.Found(self._assigned(view)))
+            self.post(mg.Drained(self._drained(view)))
 
     async def receive(self, message: Any) -> None:
         manager = self._manager
@@ -326,6 +356,7 @@
             return
         if isinstance(message, wire.Beat):
             self._waiting[message.holder.place, message.session] = message.number
+            self._machines[message.holder.place] = message.holder.machine
             message = mg.Beacon(message.holder, message.session, message.joined, message.left, message.yields)
         for action in manager.handle(clock.boot_clock(), message):
             match action:
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -288,6 +288,20 @@
             raise Refused("absent", "this gateway is no holder: the operator file names none of its name")
         return self.copies.view()
 
+    async def drain(self, machine: str, undo: bool) -> dict[str, Any]:
+        """Raises Refused."""
+        if self._told.copies is None:
+            raise Refused("absent", "the operator file has no 'copies'")
+        if machine not in (known := sorted({each.machine for each in self._told.holders})):
+            raise Refused(
+                "unknown", f"no machine '{machine}' in the operator file: it has {', '.join(known)}"
+            )
+        if self._manager is None or not self._manager.decides:
+            agreed = (await self.quorum())["agreed"] or {"leases": ()}
+            holder = next((row["holder"] for row in agreed["leases"] if row["task"] == COPIES), "")
+            raise Refused("busy", f"'{holder or 'nobody'}' decides on copies: ask there")
+        return await self._manager.drain(machine, undo)
+
     # For operators
 
     async def _question(self, make: Any) -> wire.Told:
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -144,6 +144,8 @@
                 return await self._fleet_part().change(name, add)
             case wire.Leases():
                 return await self._fleet_part().leases()
+            case wire.Drain(machine, undo):
+                return await self._fleet_part().drain(machine, undo)
             case wire.Copies():
                 return self._fleet_part().held()
             case wire.GiveUpLease(task, heir):
--- a/lotusstream/protocol/control.py
+++ b/lotusstream/protocol/control.py
@@ -87,6 +87,13 @@
     pass
 
 
+class Drain(Request, tag="drain"):
+    """The machine is to hold nothing for others, or (`undo`) may again."""
+
+    machine: str
+    undo: bool = False
+
+
 class GiveUpLease(Request, tag="give-up"):
     """`heir`: who gets it next, or whoever comes first."""
 
@@ -111,6 +118,7 @@
     | Leases
     | GiveUpLease
     | Copies
+    | Drain
 )
 
 _REQUESTS: msgspec.json.Decoder[Asking] = msgspec.json.Decoder(Asking)
--- a/tests/fleet/test_copies_on_processes.py
+++ b/tests/fleet/test_copies_on_processes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lotusstream.lab.fleet.keeping import Keeping
-from lotusstream.lab.fleet.rig import FleetRig
+from lotusstream.lab.fleet.rig import FleetRig, Lost
 from lotusstream.protocol import control as wire
 
 KEYS = [f"command-{at}" for at in range(6)]
@@ -219,3 +219,26 @@
     await rig.whole(4)
     told = await keeping.keep(keeping.holding("short", "third"))
     assert (told.what, told.holding.gateway) == ("known", "anew")
+
+
+async def test_a_drained_machine_holds_nothing_once_others_have_it_and_may_be_lost(fleet):
+    rig, keeping = fleet
+    await rig.whole(4)
+    homes = await answered(keeping)
+    drained = homes[KEYS[0]]
+    machine = f"m{drained[1:]}"
+    decider = (await rig.gateways["g1"].ask(wire.Copies()))["manager"]
+    if drained != decider:
+        with pytest.raises(Lost, match=f"'{decider}' decides on copies: ask there"):
+            await rig.gateways[drained].ask(wire.Drain(machine))
+    with pytest.raises(Lost, match="no machine 'm9' in the operator file: it has m1, m2, m3, m4, m5"):
+        await rig.gateways[decider].ask(wire.Drain("m9"))
+    left = await rig.until(lambda told: not told["shards_left"], decider, wire.Drain(machine))
+    assert left["drained"] == [machine]
+    rows = (await rig.whole(4)).values()
+    assert not [row for row in rows if drained in (row["home"], *row["copies"])]
+    if drained != decider:
+        await lose(rig, drained)
+    await all_known(keeping)
+    told = await rig.gateways[decider].ask(wire.Drain(machine, undo=True))
+    assert told["drained"] == []
