--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-SUBJECTS = ("cells", "copies", "leases", "levels")
+SUBJECTS = ("cells", "copies", "leases", "levels", "rollout")
 
 
 def main() -> int:
