A manager of copies whose first renewal is late begins once it has come

By reading: _manage in net/copies.py read the quorum and ended where may_act() was not its token at that moment; a renewal that comes late under load says neither Stop nor Begin, so nobody decided on homes while that gateway held the lease. Change: it looks again until it may act. A test without processes, which fails without the change.

--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -306,10 +306,8 @@
             self._work = None
 
     async def _manage(self, token: int) -> None:
-        while (view := await self._look()) is None:
-            await asyncio.sleep(self._terms.leases.length / US / 8)
-        if self._around.may_act() != token:
-            return
+        while (view := await self._look()) is None or self._around.may_act() != token:
+            await asyncio.sleep(self._terms.leases.length / US / 8)  # a renewal that is late is no end
         self._manager = Manager(self._terms, self._assigned(view), clock.boot_clock())
         self.post(mg.Drained(self._drained(view)))
         while True:
--- a/tests/copies/test_copies.py
+++ b/tests/copies/test_copies.py
@@ -1,5 +1,6 @@
 """What is promised survives the loss of machines with their disks, on a virtual clock."""
 
+import asyncio
 from dataclasses import replace
 
 import pytest
@@ -10,6 +11,9 @@
 from lotusstream.copies import replica as rp
 from lotusstream.copies.shards import Holder, Place, placed, shard_of
 from lotusstream.lab.copies import TERMS, play
+from lotusstream.net.actor import Supervisor
+from lotusstream.net.copies import ManagerTask
+from lotusstream.net.tasks import Around
 
 SPAN = 20
 
@@ -159,3 +163,23 @@
     for _ in range(len(home.shards)):
         home.handle(2, rp.Tick(1 << 61))  # kept no longer
     assert home.size == 0
+
+
+async def test_a_manager_whose_first_renewal_is_late_decides_once_it_has_come():
+    """It had read all, found that it might not act at that moment, and never began."""
+    looks = iter([0, 0, 5])
+
+    async def look():
+        return {"notes": {}}
+
+    async def put(*_):
+        return ""
+
+    supervisor = Supervisor()
+    around = Around("g1", lambda: next(looks, 5), lambda _: None, supervisor, put)
+    task = ManagerTask(around, TERMS, lambda *_: None, put, look)
+    task.begin(5)
+    async with asyncio.timeout(10):
+        while not task.decides:
+            await asyncio.sleep(0.01)
+    await supervisor.stop()
