The rig keeps the ports that it has picked, and tells a gateway that ended at its start

Checked: 30 starts of six rigs side by side under load, with the gateways' last lines: 'peers can't be taken: Address already in use'; others were up, and nothing was wrong with homes or leases. Cause: free_port closed the port that the system had picked, and another rig or a connection got it; a gateway that ended before it was reaped was taken for ready.

--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -82,12 +82,13 @@
     }
 
 
-def free_port() -> int:
-    """One that the system picks; nobody else is given it while this process has not used it up."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        port: int = sock.getsockname()[1]
-        return port
+def held_port() -> tuple[int, socket.socket]:
+    """A port that the system picks, and what keeps it: bound and never listening, so that a program that
+    binds it with SO_REUSEADDR has it, and nobody else is given it meanwhile."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    return sock.getsockname()[1], sock
 
 
 class Gateway:
@@ -158,6 +159,7 @@
     async def start(self) -> None:
         words = self._configure()
         self._ready.clear()
+        self.port = 0
         self.stopped = False
         environment = os.environ | {"LOTUSSTREAM_WITNESS": f"127.0.0.1:{self.fleet.witness.port}"}
         self.process = await asyncio.create_subprocess_exec(
@@ -173,7 +175,7 @@
                 await self._ready.wait()
         except TimeoutError as error:
             raise Lost(f"{self.name} did not come up: {self.lines[-5:]}") from error
-        if self.process is None or self.process.returncode is not None:
+        if self.process is None or self.process.returncode is not None or not self.port:
             raise Lost(f"{self.name} ended at its start: {self.lines[-5:]}")
 
     async def _read(self, process: asyncio.subprocess.Process) -> None:
@@ -270,9 +272,15 @@
             CountingEngine(f"e-{at}", ZONES[at % len(ZONES)], self.effects, DROPPED) for at in range(engines)
         ]
         self.story: list[str] = []
+        self._ports: list[socket.socket] = []
         self.leader = ""
         self._leads = asyncio.Event()
 
+    def _hold_port(self) -> int:
+        port, sock = held_port()
+        self._ports.append(sock)
+        return port
+
     def say(self, text: str) -> None:
         line = f"{time.monotonic() - self.began:7.2f} s  {text}"
         self.story.append(line)
@@ -295,13 +303,13 @@
         self.folder = Path(tempfile.mkdtemp(prefix="lotusstream-rig-"))
         try:
             await self.witness.start()
-            self.nobody = free_port()
+            self.nobody = self._hold_port()
             if self.engines:
                 for party in (self.board, *self.engines):
                     await party.start()
                 self.board.tell(*(engine.entry() for engine in self.engines), whole=True)
             serving = self.holders or self.keepers
-            self.ports = {name: free_port() for name in serving}
+            self.ports = {name: self._hold_port() for name in serving}
             for source in self.names:
                 for target in serving:
                     if source != target:
@@ -323,6 +331,8 @@
         for party in (self.board, *self.engines):
             party.die()
         self.witness.stop()
+        for sock in self._ports:
+            sock.close()
         await asyncio.to_thread(shutil.rmtree, self.folder, ignore_errors=True)
 
     # Faults by name
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -9,7 +9,7 @@
 
 from lotusstream.lab.fleet.askers import Asker
 from lotusstream.lab.fleet.relay import Manner
-from lotusstream.lab.fleet.rig import FleetRig, Lost, free_port
+from lotusstream.lab.fleet.rig import FleetRig, Lost, held_port
 from lotusstream.lab.fleet.witness import judge
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.net.actor import Supervisor
@@ -442,9 +442,9 @@
     world.operate(
         f"""fleet
   group lost
-  keeper n0 127.0.0.1:{free_port()}
-  keeper n1 127.0.0.1:{free_port()}
-  keeper n2 127.0.0.1:{free_port()}
+  keeper n0 127.0.0.1:{held_port()[0]}
+  keeper n1 127.0.0.1:{held_port()[0]}
+  keeper n2 127.0.0.1:{held_port()[0]}
   store "{world.folder}/store"
   heartbeat 20ms
   election 60ms
