One table of bad versions, one look at wholeness, and claims that ask the known home without ranking all

Read once more: `Claims._whom` ranked all holders by hash for each question, though the home is mostly known; `next_at` and Tick went through all open commands; the benchmark and the tests of rolling changes had a table of bad versions each; a test and a benchmark had their own words for what the rig has (`whole`, directives); an unused property, an argument that was always 0, a method of one line. Change: a home that is known is asked without more, the order of others is kept by shard; commands are looked at when they are due, from a heap; one table in lab/rollout.py; rig.whole and lab/fleet/run.py's directives everywhere. No bound, assertion or code that `run` loads changes.

--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -27,13 +27,13 @@
 from lotusstream.lab.fleet.customers import Customers, Told
 from lotusstream.lab.fleet.keeping import Keeping
 from lotusstream.lab.fleet.rig import FleetRig, Gateway
+from lotusstream.lab.fleet.run import KEEPS, QUICK
+from lotusstream.lab.fleet.run import SHARDS as SHARDS_THERE
 from lotusstream.lab.world import Broken
 from lotusstream.net.copies import CopyStore
 
 SIDE_BY_SIDE = 3  # fleets at once, of five gateways each
-SHARD_COUNT, PARTS = 8, 20
-QUICK = ("heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%")
-KEEPS = (*QUICK, "copies 3 promise 2", f"shards {SHARD_COUNT}", "remember 10m")
+PARTS = 20
 
 
 def seeds(span: tuple[int, int]) -> tuple[int, int, list[str]]:
@@ -56,10 +56,10 @@
     """One after the other, the home of most first and then any, while customers ask."""
     lost, spans = 0, list[float]()
     async with FleetRig(5, 3, seed=seed, tasks=("copies",), directives=KEEPS, holders=True, engines=4) as rig:
-        await rig.whole(SHARD_COUNT)
+        await rig.whole(SHARDS_THERE)
         async with Customers(rig, 3, seed) as customers:
             while lost < count:
-                rows = await rig.whole(SHARD_COUNT)
+                rows = await rig.whole(SHARDS_THERE)
                 names = [row["home"] for row in rows.values()]
                 name = max(rig.names, key=names.count) if lost % 2 else rig.names[lost % 5]
                 gateway: Gateway = rig.gateways[name]
@@ -68,7 +68,7 @@
                 lost, began = lost + 1, time.monotonic()
                 await gateway.start()
                 await gateway.ready()
-                await rig.whole(SHARD_COUNT)
+                await rig.whole(SHARDS_THERE)
                 spans.append(time.monotonic() - began)
         await customers.ask_again()
         return lost, customers.told, rig.effects.second, spans
@@ -93,14 +93,14 @@
 async def latency(name: str, span: float) -> dict[str, float]:
     """Of new commands with a mark, by four customers, of a gateway that is up."""
     how = {
-        "none": ("copies 3 promise 2", f"shards {SHARD_COUNT}"),
+        "none": ("copies 3 promise 2", f"shards {SHARDS_THERE}"),
         "two": KEEPS[len(QUICK) :],
-        "three": ("copies 3 promise 3", f"shards {SHARD_COUNT}", "remember 10m"),
+        "three": ("copies 3 promise 3", f"shards {SHARDS_THERE}", "remember 10m"),
     }[name]
     async with FleetRig(
         5, 3, seed=5, tasks=("copies",), directives=(*QUICK, *how), holders=True, engines=4
     ) as rig:
-        await rig.whole(SHARD_COUNT)
+        await rig.whole(SHARDS_THERE)
         async with Customers(rig, 4, 5, profile="load") as customers:
             await asyncio.sleep(span)
         found = sorted(customers.told.latencies)
@@ -117,7 +117,7 @@
     async with FleetRig(
         5, 3, seed=9, tasks=("copies",), directives=KEEPS, holders=True, engines=4
     ) as rig, Keeping(rig) as keeping:  # fmt: skip
-        await rig.whole(SHARD_COUNT)
+        await rig.whole(SHARDS_THERE)
         numbers = iter(range(keys))
 
         async def fill() -> None:
@@ -136,7 +136,7 @@
             rig.gateways[lost].wipe()
             await rig.gateways[lost].start()
             await rig.gateways[lost].ready()
-            await rig.whole(SHARD_COUNT)
+            await rig.whole(SHARDS_THERE)
             took = time.monotonic() - began
             meanwhile = (customers.told.answered - so_far) / took
         return {
--- a/benchmarks/planted_copies.py
+++ b/benchmarks/planted_copies.py
@@ -185,8 +185,9 @@
     once=0.5, work=400_000, mute=0.0, unrun=0.0,
 )  # fmt: skip
 ASKED = replace(
-    HARD, sync=150_000, patience=500_000, work=200_000, once=1.0, mute=0.0, unrun=0.0, clients=10, repeat=0.7
-)
+    SCENE, faults=("power",), fault_every=900_000, sync=300_000, patience=500_000, clients=16, repeat=0.7,
+    once=1.0, work=200_000, mute=0.0, unrun=0.0,
+)  # fmt: skip
 AGAIN = replace(SCENE, repeat=0.7, patience=700_000, unrun=0.4, clients=6)
 PLANTED = (
     Planted("a send leaves before its promise", _sent_before_the_promise, AGAIN),
--- a/lotusstream/copies/claims.py
+++ b/lotusstream/copies/claims.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -190,7 +191,9 @@
     def __init__(self, session: str, holders: Iterable[Holder], terms: ClaimTerms) -> None:
         self._session, self._holders, self._terms = session, tuple(holders), terms
         self._homes: dict[int, str] = {}
+        self._orders: dict[int, tuple[str, ...]] = {}  # by shard: whom to ask where the home is not known
         self._kept: dict[int, _Kept] = {}
+        self._due: list[tuple[int, int]] = []  # when a command is to be looked at; what is over is passed by
         self._asked: dict[int, int] = {}  # by number: the command
         self._numbers = self._claims = 0
         self._now = 0
@@ -212,19 +215,16 @@
             case Heard():
                 self._heard(event)
             case Tick():
-                for command in list(self._kept):
-                    self._look(self._kept[command])
+                while self._due and self._due[0][0] <= now:
+                    kept = self._kept.get(heapq.heappop(self._due)[1])
+                    if kept is not None:
+                        self._look(kept)
         return self._out
 
     @property
     def next_at(self) -> int | None:
         """When a Tick is due."""
-        asking = [each for each in self._kept.values() if each.step is not Step.NOTHING]
-        return min((min(each.again_at, each.by) for each in asking), default=None)
-
-    @property
-    def open(self) -> int:
-        return len(self._kept)
+        return self._due[0][0] if self._due else None
 
     # What this gateway wants
 
@@ -300,7 +300,7 @@
         self._asked.pop(kept.number, None)
         self._numbers += 1
         kept.number, kept.holder = self._numbers, self._whom(kept)
-        kept.again_at = self._now + self._terms.patience
+        self._again_in(kept, self._terms.patience)
         self._asked[kept.number] = kept.told.command
         finish = kept.step is Step.FINISH
         self._out.append(Ask(kept.holder, kept.number, finish, kept.wanted, kept.after))
@@ -308,13 +308,22 @@
     def _whom(self, kept: _Kept) -> str:
         """The home, as far as is known; then those it would be given to, one after the other."""
         shard = shard_of(kept.told.key, self._terms.shards)
-        likely = [each.place.name for each in placed(shard, self._holders, self._terms.copies)]
-        order = [self._homes.get(shard, ""), *likely, *(each.place.name for each in self._holders)]
-        for name in order:
-            if name and name not in kept.skipped:
+        home = self._homes.get(shard, "")
+        if home and home not in kept.skipped:
+            return home
+        if shard not in self._orders:
+            likely = [each.place.name for each in placed(shard, self._holders, self._terms.copies)]
+            self._orders[shard] = (*likely, *(each.place.name for each in self._holders))
+        for name in self._orders[shard]:
+            if name not in kept.skipped:
                 return name
         kept.skipped.clear()
-        return next(name for name in order if name)
+        return home or self._orders[shard][0]
+
+    def _again_in(self, kept: _Kept, span: int) -> None:
+        """Nothing follows before then, or before its time is over, unless something is heard."""
+        kept.again_at = self._now + span
+        heapq.heappush(self._due, (min(kept.again_at, kept.by), kept.told.command))
 
     def _look(self, kept: _Kept) -> None:
         if kept.step is Step.NOTHING:
@@ -355,7 +364,7 @@
         else:
             if not heard.home and heard.what == "unkept":
                 kept.skipped.append(kept.holder)
-            kept.again_at = self._now + self._terms.pause
+            self._again_in(kept, self._terms.pause)
 
     def _promised(self, kept: _Kept) -> None:
         match kept.step:
@@ -390,7 +399,7 @@
             kept.earlier = known  # a third one was quicker, in the same place
             self._claim(kept, known.gateway, known.since)
         elif not told.again and self._now + self._terms.pause < told.by:
-            kept.again_at = self._now + self._terms.pause  # it may be answered any moment
+            self._again_in(kept, self._terms.pause)  # it may be answered any moment
         else:
             kept.earlier, kept.mine, kept.foreign = known, None, True
             self._out.append(Recall(told.command, known.zone, known.cell, known.since))
--- a/lotusstream/lab/rollout.py
+++ b/lotusstream/lab/rollout.py
@@ -31,6 +31,15 @@
 STAGES = (0.0, 0.25, 1.0)
 PLAN = Plan(1, Version(1, "old"), Version(2, "new", "old"), STAGES, 200 * S, 30 * S, 2, 6, 0.8)
 GOOD = Defect()
+BAD = {  # versions that each change is to be stopped for
+    "dies at its start": Defect(starts=False),
+    "dies after a minute": Defect(lives=60 * S),
+    "loses one in twenty": Defect(more={"lost": 0.05}),
+    "is bad in one zone alone": Defect(more={"lost": 0.1}, zone="z1"),
+    "is late": Defect(more={"late": 0.06}),
+    "breaks a rule once": Defect(breaks=0.02),
+    "takes a tenth more of a core": Defect(slower=1.1),
+}
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/lotusstream/rollout/plan.py
+++ b/lotusstream/rollout/plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from hashlib import blake2b
 
 import msgspec
@@ -83,8 +83,3 @@
 def stage_ends(plan: Plan, gateways: int) -> list[int]:
     """How many are changed when each stage ends."""
     return [max(1, min(gateways, int(share * gateways + 0.5))) for share in plan.stages]
-
-
-def ready_enough(plan: Plan, ready: Iterable[str], gateways: int, going: int) -> bool:
-    """Whether one more may go down, with `going` on the way already."""
-    return len(list(ready)) - 1 - going >= plan.keep * gateways
--- a/lotusstream/rollout/rollout.py
+++ b/lotusstream/rollout/rollout.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from lotusstream.rollout.judge import Bounds, Finding, Judge, Reading, Verdict
-from lotusstream.rollout.plan import Plan, order, ready_enough, stage_ends
+from lotusstream.rollout.plan import Plan, order, stage_ends
 
 LONGEST_BAKE = 4  # bakes without a verdict until a person is asked
 AGAIN = 4  # times in its patience that a gateway is told again
@@ -150,7 +150,7 @@
             case Standing():
                 self._stands(event)
             case Window(readings):
-                self._judged(readings)
+                self._find(self._judge.handle(readings))
             case Agreed(entry):
                 self._open = None
                 self._adopt(entry)
@@ -170,10 +170,6 @@
         self._drive()
         return self._out
 
-    @property
-    def over(self) -> bool:
-        return self.entry.phase in OVER
-
     # The entry
 
     def _adopt(self, entry: Entry) -> None:
@@ -216,9 +212,6 @@
         if finding.verdict is not before.verdict:
             self._out.append(Judged(finding))
 
-    def _judged(self, readings: tuple[Reading, ...]) -> None:
-        self._find(self._judge.handle(readings))
-
     # Driving
 
     def _drive(self) -> None:
@@ -282,8 +275,8 @@
 
     def _may_step(self, most: int) -> bool:
         stepping = self.entry.stepping
-        ready = [name for name, known in self._standing.items() if known.ready and name not in stepping]
-        return len(stepping) < most and ready_enough(self.plan, ready, len(self._zones), 0)
+        ready = sum(known.ready and name not in stepping for name, known in self._standing.items())
+        return len(stepping) < most and ready - 1 >= self.plan.keep * len(self._zones)
 
     def _bake(self) -> None:
         if why := self._worse():
