One gateway examines engines for all, versions work side by side, copies are compared and filled at a pace

examine/: the holder of the lease 'examine' looks at each engine every told time; two misses, or a refused connection, and it is said to be silent. Keepers pass that on under its token. The module learns one event, Hearsay: it sets nobody aside, ends a time aside within one shortest target at a moment drawn by chance, or goes on with one for 20 of them at most.

Peers say in their greeting what frames they understand; newer ones are not told to others.

copies/scrub.py: ranges of shards are compared by sums; of three the odd one out is filled anew. The log is read again and written anew from memory where it is damaged. repair-pace bounds what a holder gives to all that it fills. An event drives its own shard only.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-SUBJECTS = ("cells", "copies", "leases", "levels", "rollout")
+SUBJECTS = ("cells", "copies", "examine", "leases", "levels", "rollout")
 
 
 def main() -> int:
--- a/lotusstream/cli/render.py
+++ b/lotusstream/cli/render.py
@@ -199,6 +199,10 @@
     for task, token in told["here"].items():
         since = span(told["held_us"].get(task, 0))
         rows.append((task, f"held under token {token}, for {since}" if token else "not held here"))
+    if (heard := told["examined"]) is not None:
+        silent = ", ".join(heard["silent"]) or "none"
+        what = f"{silent}, heard {span(heard['age_us'])} ago under token {heard['token']}"
+        rows.append(("engines that do not answer", what if heard["token"] else "nobody has told"))
     if agreed is None:
         rows.append(("quorum", f"none: {told['why']}"))
         return _pairs(rows)
--- a/lotusstream/copies/manager.py
+++ b/lotusstream/copies/manager.py
@@ -19,7 +19,8 @@
     """`copies`: disks for each shard, home included; `promise`: on how many of them a promise has to be.
     `pace`: shards that are copied anew at a time. `shards`: into how many keys are divided. `part`: bytes
     that are told or written down as one, of what is copied whole. `most`: bytes that a holder has room for;
-    0: no bound."""
+    0: no bound. `rate`: bytes a second that one holder gives to all that it fills; 0: no bound. `scrub`: the
+    time in which a home compares all ranges of its shards with their copies; 0: never."""
 
     copies: int
     promise: int
@@ -28,6 +29,8 @@
     shards: int = SHARDS
     part: int = 256 << 10
     most: int = 0
+    rate: int = 0
+    scrub: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/copies/messages.py
+++ b/lotusstream/copies/messages.py
@@ -176,4 +176,23 @@
     epoch: int
 
 
-AnyWord = Begin | Stand | Fill | Filled | Copy | Copied | Deposed
+class Compare(Word, frozen=True, tag="compare"):
+    """A copy that stands there too is asked for its sum of this range, of what is kept after `kept_after`."""
+
+    shard: int
+    epoch: int
+    seq: int
+    range: int
+    kept_after: int
+
+
+class Compared(Word, frozen=True, tag="compared"):
+    shard: int
+    epoch: int
+    session: str
+    seq: int
+    range: int
+    sum: bytes
+
+
+AnyWord = Begin | Stand | Fill | Filled | Copy | Copied | Deposed | Compare | Compared
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -11,6 +11,7 @@
 from lotusstream.copies import messages as ms
 from lotusstream.copies.manager import CopyTerms
 from lotusstream.copies.messages import Assigned, Held, Holding, Op
+from lotusstream.copies.scrub import APART, RANGES, Comparing, odd_ones, sum_of
 from lotusstream.copies.shards import Place, shard_of
 
 LATER = 10_000  # changes that are kept while a copy is being filled
@@ -74,7 +75,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Time has passed; `unix`: the time of day, for what is kept no longer."""
+    """Time has passed; `unix`: the time of day, where it is time to look for what is kept no longer."""
 
     unix: int = 0
 
@@ -121,12 +122,23 @@
     maybe: bool = False
 
 
-Action = Save | Say | Promised | Known | Unkept
+@dataclass(frozen=True, slots=True)
+class Differ:
+    """For people: copies of a shard do not hold the same. `filled`: those that are filled anew; `ahead`: who
+    is to be the home. Neither: nobody can tell which is right."""
+
+    shard: int
+    filled: tuple[Place, ...]
+    ahead: Place | None
+
+
+Action = Save | Say | Promised | Known | Unkept | Differ
 
 
 @dataclass(slots=True)
 class Filling:
-    """What a home is giving to a copy, one part after the other. `at`: the one that is out, since when."""
+    """What a home is giving to a copy, one part after the other. `at`: the one that is out, since when, or
+    that waits for the told pace until `due`."""
 
     session: str
     last: tuple[int, int]
@@ -134,6 +146,7 @@
     begun: int
     since: int
     at: int = 0
+    due: int | None = None
 
 
 @dataclass(slots=True)
@@ -228,11 +241,17 @@
         self._marks: deque[tuple[int, dict[int, int]]] = deque()
         self._turn: list[Action] = []
         self._swept = 0
+        self._comparing: Comparing | None = None
+        self._compared, self._compared_at = 0, now  # ranges so far
+        self._paced = 0  # until when what was given to copies fills the told pace
+        self._touched: set[int] | None = set()  # shards that the event is about; None: all
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self._now, self._out, self._turn = max(now, self._now), [], []
+        self._touched = None if isinstance(event, Tick | LeaseFrom | Leave) else set()
         match event:
             case Heard(sender, word):
+                self._touch(word.assigned.shard if isinstance(word, ms.Begin) else word.shard)
                 self._heard(sender, word)
             case Persisted(number):
                 self._persisted(number)
@@ -247,13 +266,27 @@
                 self._finish(ticket, holding, unix)
             case Leave():
                 self.left = True
-            case Tick(unix):
+            case Tick(unix) if unix:
                 self._forget(unix)
-        for shard in self.shards.values():
-            self._drive(shard)
+                self._compare(unix)
+        touched = self.shards if self._touched is None else sorted(self._touched)
+        for number in touched:
+            if number in self.shards:
+                self._drive(self.shards[number])
         self._flush()
         return self._out
 
+    def _touch(self, number: int) -> None:
+        if self._touched is not None:
+            self._touched.add(number)
+
+    @property
+    def next_at(self) -> int | None:
+        """When a part may be given that waits for the told pace: a Tick is due then."""
+        homes = [shard for shard in self.shards.values() if self._home(shard)]
+        filled = [each.due for shard in homes for each in shard.filling.values()]
+        return min((due for due in filled if due is not None), default=None)
+
     @property
     def leased(self) -> bool:
         """Whether this holder may promise anything at this moment."""
@@ -290,6 +323,51 @@
             if any(each.until <= unix for each in shard.holdings.values()):
                 shard.keep([each for each in shard.holdings.values() if each.until > unix])
 
+    # Comparing
+
+    def _compare(self, unix: int) -> None:
+        """The next range of the next shard that this is home of, while nothing is on its way."""
+        pause = self._terms.scrub // (self._terms.shards * RANGES)
+        if not self._terms.scrub or self._now - self._compared_at < pause:
+            return
+        self._compared_at, self._comparing = self._now, None
+        homes = sorted(number for number, shard in self.shards.items() if self._home(shard))
+        if not homes:
+            return
+        self._compared += 1
+        shard = self.shards[homes[self._compared // RANGES % len(homes)]]
+        mine, seq = shard.assigned, shard.last[1]
+        if mine is None or not mine.backups or shard.open_keys or shard.promised != seq:
+            return
+        part, kept_after = self._compared % RANGES, unix + APART
+        told = sum_of(shard.holdings.values(), part, kept_after)
+        waits = frozenset(mine.backups)
+        self._comparing = Comparing(shard.number, mine.epoch, seq, part, told, waits)
+        for each in mine.backups:
+            self._say(each, ms.Compare(shard.number, mine.epoch, seq, part, kept_after), rests=False)
+
+    def _summed(self, sender: Place, told: ms.Compared) -> None:
+        shard, comparing = self._shard(told.shard), self._comparing
+        about = (told.shard, told.epoch, told.seq, told.range)
+        if comparing is None or about != (comparing.shard, comparing.epoch, comparing.seq, comparing.range):
+            return
+        if not self._mine(shard, told.epoch) or shard.sessions.get(sender) != told.session:
+            return
+        if not comparing.take(sender, told.sum):
+            return
+        self._comparing = None
+        if (odd := odd_ones(comparing.mine, comparing.sums)) is None:
+            return
+        self._out.append(Differ(shard.number, odd.fill, odd.ahead))
+        for each in odd.fill:
+            parts = ms.in_parts(shard.holdings.values(), self._terms.part)
+            shard.copied[each] = -1  # nothing is promised with it before it has all
+            filling = Filling(shard.sessions[each], shard.last, parts, self._now, self._now)
+            shard.filling[each] = filling
+            self._say_part(shard, each, filling)
+        if odd.ahead is not None:
+            self._yield_to(shard, odd.ahead)
+
     @property
     def size(self) -> int:
         """Of all that is held here, about so many bytes."""
@@ -320,6 +398,7 @@
         while self._marks and self._marks[0][0] <= number:
             for shard, seq in self._marks.popleft()[1].items():
                 self.shards[shard].durable = seq
+                self._touch(shard)
         while self._rests and self._rests[0][0] <= number:
             self._out += self._rests.popleft()[1]
 
@@ -340,6 +419,7 @@
         if self.place not in assigned.all and assigned.shard not in self.shards:
             return False
         shard = self._shard(assigned.shard)
+        self._touch(shard.number)
         known = shard.assigned.epoch if shard.assigned else 0
         if assigned.epoch <= known:
             return assigned.epoch == known
@@ -390,6 +470,9 @@
             shard.begun = self._now
             for each in (*mine.backups, *mine.joining):
                 self._say(each, ms.Begin(mine), rests=False)
+        for to, filling in shard.filling.items():
+            if filling.due is not None and self._now >= filling.due:
+                self._say_part(shard, to, filling)
         while shard.waiting and self._now - shard.waiting[0][2] > self._terms.leases.length:
             why = "its copies do not answer"
             self._out.append(Unkept(shard.waiting.popleft()[1], why, "", True))
@@ -405,6 +488,7 @@
 
     def _able(self, ticket: int, key: str) -> Shard | None:
         shard = self._shard(shard_of(key, self._terms.shards))
+        self._touch(shard.number)
         mine = shard.assigned
         if mine is None or not self._home(shard):
             home = mine.home.name if mine and mine.home != self.place else ""
@@ -498,11 +582,19 @@
         self._say_part(shard, to, under_way)
 
     def _stands_still(self, filling: Filling) -> bool:
-        return self._now - filling.since > self._terms.leases.length
+        return filling.due is None and self._now - filling.since > self._terms.leases.length
 
     def _say_part(self, shard: Shard, to: Place, filling: Filling) -> None:
+        """At the told pace, over all that this holder fills: guards the commands of customers, who wait for
+        the same loops and disks."""
         assert shard.assigned is not None
+        if self._terms.rate and self._now < self._paced:
+            filling.due = self._paced
+            return
         part, at, count = filling.parts[filling.at], filling.at, len(filling.parts)
+        filling.due, filling.since = None, self._now
+        if self._terms.rate:
+            self._paced = self._now + sum(map(ms.size_of, part)) * 1_000_000 // self._terms.rate
         epoch, begun = shard.assigned.epoch, filling.begun
         fill = ms.Fill(shard.number, epoch, -1, *filling.last, part, (), at, count, begun)
         self._say(to, fill, rests=False)
@@ -599,6 +691,14 @@
                 shard = self._shard(number)
                 if self._mine(shard, epoch) and shard.sessions.get(sender) == session:
                     shard.copied[sender] = max(shard.copied[sender], seq)
+            case ms.Compare(number, epoch, seq, part, kept_after):
+                shard = self._shard(number)
+                if self._follows(sender, shard, epoch) and shard.last[1] == seq and shard.incoming is None:
+                    told = sum_of(shard.holdings.values(), part, kept_after)
+                    answer = ms.Compared(number, epoch, self.session, seq, part, told)
+                    self._say(sender, answer, rests=False)
+            case ms.Compared():
+                self._summed(sender, word)
             case ms.Deposed(number, epoch):
                 shard = self._shard(number)
                 if shard.assigned is not None and epoch > shard.assigned.epoch and self._home(shard):
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -287,6 +287,14 @@
     at: int
 
 
+@dataclass(frozen=True, slots=True)
+class Hearsay:
+    """Another gateway, which examines engines for all, says that this one does not answer, or does again."""
+
+    engine: EngineId
+    answers: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What does the module believe? Changes nothing; answered by Believed."""
@@ -320,6 +328,7 @@
     | Rehomed
     | Dropped
     | RanElsewhere
+    | Hearsay
     | Asked
     | Settled
 )
--- a/lotusstream/lab/copies.py
+++ b/lotusstream/lab/copies.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from lotusstream.copies import claims as cl
 from lotusstream.copies import manager as mg
 from lotusstream.copies import messages as ms
@@ -15,13 +17,16 @@
 from lotusstream.copies.manager import CopyTerms, Manager
 from lotusstream.copies.messages import Assigned
 from lotusstream.copies.replica import Replicas, read_back
+from lotusstream.copies.scrub import RANGES
 from lotusstream.copies.shards import Holder, Place
 from lotusstream.lab.world import MS, Node, S, Span, World
 from lotusstream.leases.granter import LeaseTerms
 
 FAILED = b"may have run"
 ONCE = "once"  # the end of keys whose commands may run once only
-TERMS = CopyTerms(3, 2, LeaseTerms(1 * S, 125 * MS, 0.05), 2, 4, 300)
+TERMS = CopyTerms(
+    3, 2, LeaseTerms(1 * S, 125 * MS, 0.05), 2, 4, 300, rate=100_000, scrub=4 * RANGES * 100 * MS
+)  # fmt: skip
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -103,6 +108,7 @@
         self.answers: dict[str, bytes] = {}
         self.answered_at: dict[str, int] = {}
         self.promises = self.repeats = self.unknown = self.lost_machines = self.taken_over = 0
+        self.flipped = self.differ = 0  # holdings that changed by themselves, and differences found
 
     def effect(self, key: str, place: int) -> bytes:
         """Of an engine of this zone: a repeat that it remembers is dropped, and told the same."""
@@ -206,6 +212,10 @@
                     self._outcome(node, ticket, "known", holding)
                 case rp.Unkept(ticket, why, home, maybe):
                     self._outcome(node, ticket, "maybe" if maybe else "unkept", None, why, home)
+                case rp.Differ(shard, filled, _):
+                    self.judge.differ += 1
+                    if "flip" not in self.scene.faults:
+                        self.fails(f"copies of shard {shard} differ, {filled} from {node.name}")
 
     def _syncing(self, node: GatewayNode, save: rp.Save) -> Callable[[], None]:
         def synced() -> None:
@@ -528,6 +538,32 @@
         node.disk, node.disk_name = Disk(), ""
         self.back(node, 2 * S)
 
+    def _fault_flip(self) -> None:
+        """A copy holds something else all of a sudden. (A home that did so would tell it.)"""
+        counted = [each for _, each in sorted(self.agreed.items()) if each.backups]
+        if not counted:
+            return
+        assigned = self.draw.choice(counted)
+        place = self.draw.choice(assigned.backups)
+        node = self.gateways[place.name]
+        shard = node.replicas.shards.get(assigned.shard)
+        answered = [each for each in shard.holdings.values() if each.answer] if shard else []
+        if shard is not None and answered and node.disk_name == place.disk:
+            each = self.draw.choice(answered)
+            shard.holdings[each.key] = msgspec.structs.replace(each, answer=each.answer + b"?")
+            self.judge.flipped += 1
+            self._calm_until = self.now + 7 * S  # two at once would leave nobody who can tell
+
+    def alike(self) -> bool:
+        """All copies that stand at the same change hold the same."""
+        for each in self.agreed.values():
+            shards = [self.gateways[place.name].replicas.shards[each.shard] for place in each.all]
+            held: dict[Any, Any] = {}
+            for shard in shards:
+                if held.setdefault(shard.last, shard.holdings) != shard.holdings:
+                    return False
+        return True
+
     def _whole(self) -> bool:
         terms = self.scene.terms
         return len(self.agreed) == terms.shards and all(
--- a/lotusstream/lab/fleet/process.py
+++ b/lotusstream/lab/fleet/process.py
@@ -2,7 +2,8 @@
 whose acts a witness takes down. Started as `python -m lotusstream.lab.fleet.process FOLDER serve ...`.
 
 The folder holds `clock`, 16 bytes (rate, microseconds ahead), and `disk`, one word: ok, full, failing, a
-number of milliseconds for every sync, or crash-N: killed at the N-th call from then on. Where there is a file
+number of milliseconds for every sync, or crash-N: killed at the N-th call from then on; crash-N-FILE: at the
+N-th call for a file of that name. Where there is a file
 `between`, the process stops itself (SIGSTOP) once between its look at the lease and its act.
 """
 
@@ -49,10 +50,13 @@
         self._told = told
         self._calls = 0
 
-    def _crash(self, word: str) -> None:
+    def _crash(self, word: str, descriptor: int) -> None:
         if word.startswith("crash-"):
+            number, _, file = word.removeprefix("crash-").partition("-")
+            if not os.readlink(f"/proc/self/fd/{descriptor}").endswith(file):
+                return
             self._calls += 1
-            if self._calls >= int(word.removeprefix("crash-")):
+            if self._calls >= int(number):
                 os.kill(os.getpid(), signal.SIGKILL)
 
     def _word(self) -> str:
@@ -64,7 +68,7 @@
     def write(self, descriptor: int, data: bytes) -> int:
         if (word := self._word()) == FULL:
             raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
-        self._crash(word)
+        self._crash(word, descriptor)
         return super().write(descriptor, data)
 
     def sync(self, descriptor: int) -> None:
@@ -73,9 +77,9 @@
             raise OSError(errno.EIO, os.strerror(errno.EIO))
         if word.isdigit():
             time.sleep(int(word) / 1000)
-        self._crash(word)
+        self._crash(word, descriptor)
         super().sync(descriptor)
-        self._crash(word)
+        self._crash(word, descriptor)
 
 
 class LabClock:
--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -105,6 +105,7 @@
         self._reading: asyncio.Task[None] | None = None
         self._ready = asyncio.Event()
         self.stopped = False
+        self.program: Path | None = None  # another version's folder, instead of this one's
         self.port = 0  # for clients, once it listens
         self.set_clock(1.0, 0)
         self.set_disk(OK)
@@ -162,10 +163,12 @@
         self.port = 0
         self.stopped = False
         environment = os.environ | {"LOTUSSTREAM_WITNESS": f"127.0.0.1:{self.fleet.witness.port}"}
+        if self.program is not None:
+            environment["PYTHONPATH"] = str(self.program)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lotusstream.lab.fleet.process", str(self.folder), "serve", *words,
             stderr=asyncio.subprocess.PIPE, stdin=asyncio.subprocess.DEVNULL, env=environment,
-            start_new_session=True,
+            start_new_session=True, cwd=self.program,
         )  # fmt: skip
         self._reading = asyncio.create_task(self._read(self.process))
 
--- a/lotusstream/lab/parties.py
+++ b/lotusstream/lab/parties.py
@@ -101,12 +101,15 @@
         self.raw = b""  # said in place of any answer, where acts is "raw"
         self.once: dict[int, bytes] = {}  # said once in place of the answer that holds this page
         self.held = set[str]()  # calls that stay open whatever it does
+        self.deaf_to = ""  # what begins with this path gets no answer
 
     def posts(self, call: str | None = None) -> list[Call]:
         found = [item for item in self.calls.items if item.method == "POST"]
         return [item for item in found if call in (None, item.headers["x-txn"])]
 
     async def respond(self, call: Call) -> bytes | None:
+        if self.deaf_to and call.path.startswith(self.deaf_to):
+            return None
         if call.method in ("DELETE", "PUT"):
             return http_answer(204)
         number = 0 if call.method == "POST" else int(call.path.rsplit("/", 1)[1])
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -86,6 +86,12 @@
                 records = [record for save in saves for record in save.records]
                 self._log.append(*map(msgspec.msgpack.encode, records))
 
+    def damaged_at(self) -> int | None:
+        """What is on the disk, read once more beside all writes. Raises DiskTrouble."""
+        with self._writing:
+            look = self._log.look()
+        return look.damaged()
+
     @property
     def is_long(self) -> bool:
         return self._log.size > self._least
@@ -125,7 +131,8 @@
         place = self.holder.place
         self.replicas = Replicas(place, session, terms, self._store.shards, clock.boot_clock())
         self._saves: list[rp.Save] = []
-        self._saving = False
+        self._saving = self._anew = False  # anew: the log is to be written whole
+        self._armed: asyncio.TimerHandle | None = None  # for what waits for the told pace
         self._failed = ""
         self._tickets: dict[int, tuple[wire.Keep, Callable[[wire.AnyFrame], None]]] = {}
         self._ticket = 0
@@ -137,6 +144,21 @@
     def start(self) -> None:
         super().start()
         self.supervisor.keep("beacons", self._beacons)
+        if self._terms.scrub:
+            self.supervisor.keep("scrub", self._scrub)
+
+    async def _scrub(self) -> None:
+        """The log is read again once in the told time. Memory has all that it holds: a damaged one is written
+        anew from there, before a start would have to put it aside."""
+        while True:
+            await asyncio.sleep(self._terms.scrub / US)
+            self.supervisor.counters.add("copies logs read again")
+            if self._failed or (at := await asyncio.to_thread(self._store.damaged_at)) is None:
+                continue
+            self.supervisor.counters.add("copies logs found damaged")
+            self.supervisor.log.say("copies", f"damaged on disk at byte {at}, written anew", "error")
+            self._anew = True
+            self._begin_saving()
 
     async def _beacons(self) -> None:
         """Several in a lease; whoever decides is looked for while none is answered."""
@@ -203,13 +225,22 @@
                 self._take(message)
 
     def _take(self, event: rp.Event) -> None:
+        self._carry_out(event)
+        at = self.replicas.next_at
+        if at is not None and self._armed is None:
+            pause = max(1000, at - clock.boot_clock()) / US
+            self._armed = asyncio.get_running_loop().call_later(pause, self._fire)
+
+    def _fire(self) -> None:
+        self._armed = None
+        self.post(rp.Tick())
+
+    def _carry_out(self, event: rp.Event) -> None:
         for action in self.replicas.handle(clock.boot_clock(), event):
             match action:
                 case rp.Save():
                     self._saves.append(action)
-                    if not self._saving:
-                        self._saving = True
-                        self.supervisor.start("copies store", self._save())
+                    self._begin_saving()
                 case rp.Say(to, word):
                     self._tell(to.name, wire.Word(self.holder.place, to, word))
                 case rp.Promised(ticket):
@@ -218,6 +249,12 @@
                     self._answer(ticket, "known", holding)
                 case rp.Unkept(ticket, why, home, maybe):
                     self._answer(ticket, "maybe" if maybe else "unkept", None, why, home)
+                case rp.Differ(shard, filled, ahead):
+                    names = ", ".join(each.name for each in filled)
+                    how = f"{names} filled anew" if names else f"{ahead.name} is to be home" if ahead else ""
+                    text = f"copies of shard {shard} differ: {how or 'nobody can tell which is right'}"
+                    self.supervisor.counters.add("copies found to differ")
+                    self.supervisor.log.say("copies", text, "error", shard=shard)
 
     def _answer(self, ticket: int, what: str, holding: Any, why: str = "", home: str = "") -> None:
         if (found := self._tickets.pop(ticket, None)) is not None:
@@ -227,11 +264,17 @@
                 home = place.name if place is not None and place != self.holder.place else ""
             answer(wire.Kept(asked.number, what, holding, why, home))
 
+    def _begin_saving(self) -> None:
+        if not self._saving:
+            self._saving = True
+            self.supervisor.start("copies store", self._save())
+
     async def _save(self) -> None:
         """All that has come meanwhile, by one sync."""
-        while self._saves:
+        while self._saves or self._anew:
             saves, self._saves = self._saves, []
-            whole = self._whole() if self._store.is_long else []
+            whole = self._whole() if self._store.is_long or self._anew else []
+            self._anew = False
             try:
                 await asyncio.to_thread(self._store.write, saves, whole)
             except DiskTrouble as error:
@@ -239,7 +282,8 @@
                 self.supervisor.counters.add("copies disk failures")
                 self.supervisor.log.say("copies", f"this holder stands still: {error}", "error")
                 return
-            self.post(rp.Persisted(saves[-1].number))
+            if saves:
+                self.post(rp.Persisted(saves[-1].number))
         self._saving = False
 
     def _whole(self) -> list[ms.Record]:
@@ -276,6 +320,8 @@
 
     async def stop(self) -> None:
         await super().stop()
+        if self._armed is not None:
+            self._armed.cancel()
         await asyncio.to_thread(self._store.close)
 
 
--- /dev/null
+++ b/lotusstream/net/examine.py
@@ -0,0 +1,202 @@
+"""Engines examined by one gateway for all: its looks under a lease, the keepers that pass its news on, and
+what every gateway hears. Imported only where the operator file has `examine`."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Any
+
+from lotusstream import interface as api
+from lotusstream.examine import examiner as ex
+from lotusstream.examine import hearsay as hs
+from lotusstream.examine.news import ExamineTerms, News
+from lotusstream.net import clock
+from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.connection import (
+    US,
+    CallBroken,
+    CannotConnect,
+    Connection,
+    Endpoint,
+    NoDescriptor,
+    Refused,
+    SocketBudget,
+)
+from lotusstream.net.decider import Decider, Describe, Tell, View
+from lotusstream.net.tasks import Around
+from lotusstream.protocol import http
+from lotusstream.protocol import peers as wire
+
+CALLERS = 1024  # gateways that a keeper passes news on to
+LIST_WITHIN = 5.0  # seconds for the decider to tell its list
+NOBODYS = "0" * 16  # a query that no client has asked for: all that is wanted is an answer
+
+Send = Callable[[str, wire.AnyFrame], None]  # to the gateway of this name; may be lost
+Answer = Callable[[wire.AnyFrame], None]
+
+
+class ExamineTask(Actor[ex.Event]):
+    """Looks at engines under the lease 'examine', and at its token before each look and each word."""
+
+    def __init__(
+        self, around: Around, terms: ExamineTerms, connect_timeout: int, decider: Decider,
+        keepers: tuple[str, ...], send: Send,
+    ) -> None:  # fmt: skip
+        super().__init__("examine", around.supervisor)
+        self._around, self._terms, self._connect = around, terms, connect_timeout
+        self._decider, self._keepers, self._send = decider, keepers, send
+        self._budget = SocketBudget(terms.most)
+        self._budget.kept_back = 0
+        self._addresses: dict[api.EngineId, Endpoint] = {}
+        self._examiner: ex.Examiner | None = None
+        self._token = 0
+        self._work: asyncio.Task[None] | None = None
+        self._running = False
+
+    def begin(self, token: int) -> None:
+        self.stop("begun anew")
+        if not self._running:
+            self._running = True
+            self.start()
+        self._token, self._examiner = token, ex.Examiner(token, self._terms, clock.boot_clock())
+        self._work = self.supervisor.start("examine", self._time(self._examiner))
+
+    def stop(self, why: str = "") -> None:  # type: ignore[override]
+        self._examiner, self._token = None, 0
+        if self._work is not None:
+            self._work.cancel()
+            self._work = None
+
+    async def _time(self, examiner: ex.Examiner) -> None:
+        """The list anew every so often, and what is due in between."""
+        listed = clock.boot_clock() - self._terms.every
+        while True:
+            if clock.boot_clock() - listed >= self._terms.every:
+                listed = clock.boot_clock()
+                with contextlib.suppress(TimeoutError):  # the older one will do
+                    await self._list()
+            self.post(ex.Tick())
+            pause = examiner.next_at - clock.boot_clock()
+            await asyncio.sleep(max(self._terms.soon // 4, min(pause, self._terms.every)) / US)
+
+    async def _list(self) -> None:
+        answer: asyncio.Future[View] = asyncio.get_running_loop().create_future()
+        self._decider.post(Describe(answer))
+        async with asyncio.timeout(LIST_WITHIN):
+            view = await answer
+        addresses = {}
+        for engine in view.believed.engines:
+            if engine.state is api.State.READY and (address := view.addresses.get(engine.engine)):
+                host, _, port = address.rpartition(":")
+                addresses[engine.engine] = (host, int(port))
+        self._addresses = addresses
+        self.post(ex.Listed(tuple(addresses)))
+
+    async def receive(self, message: ex.Event) -> None:
+        examiner, token = self._examiner, self._token
+        if examiner is None or self._around.may_act() != token:
+            return
+        for action in examiner.handle(clock.boot_clock(), message):
+            match action:
+                case ex.Look(engine):
+                    self.supervisor.start("examination", self._look(engine, self._addresses[engine]))
+                case ex.Tell(news):
+                    for keeper in self._keepers:
+                        self._send(keeper, wire.Tidings(news))
+
+    async def _look(self, engine: api.EngineId, endpoint: Endpoint) -> None:
+        """Any answer will do: it says that the process is there and talks, and no more."""
+        host = f"{endpoint[0]}:{endpoint[1]}"
+        request = http.request("GET", f"/x/{NOBODYS}/0", host, {})
+        answers = sure = False
+        self.supervisor.counters.add("engines examined")
+        try:
+            connection = await Connection.open(
+                endpoint, self._connect, self._budget, http.PAGE_BYTES, ends_things=False
+            )
+            try:
+                await connection.call(request, http.PATIENCE)
+                answers = True
+            finally:
+                connection.close()
+        except Refused:
+            sure = True
+        except NoDescriptor:
+            return  # it is looked at again
+        except (CannotConnect, CallBroken):
+            pass
+        if not answers:
+            self.supervisor.counters.add("engines examined without an answer")
+        self.post(ex.Found(engine, answers, sure))
+
+
+class NewsDesk:
+    """A keeper's part: the newest news, and who wants it. Nothing under a token older than the newest seen,
+    here or in the table of leases."""
+
+    def __init__(self, terms: ExamineTerms, newest_token: Callable[[], int]) -> None:
+        self._terms, self._newest_token = terms, newest_token
+        self._news: News | None = None
+        self._came = 0
+        self._callers: dict[str, tuple[Answer, int]] = {}
+
+    def hear(self, frame: wire.Hear, sender: str, answer: Answer) -> None:
+        now = clock.boot_clock()
+        self._callers.pop(sender, None)
+        self._callers[sender] = (answer, now + min(frame.span, 2 * self._terms.old))
+        if len(self._callers) > CALLERS:
+            del self._callers[next(iter(self._callers))]
+        if self._news is not None and now - self._came < self._terms.old:
+            answer(wire.Tidings(self._news, now - self._came))
+
+    def take(self, news: News) -> None:
+        if news.token < self._newest_token() or (self._news and news.order <= self._news.order):
+            return
+        now = clock.boot_clock()
+        self._news, self._came = news, now
+        self._callers = {name: told for name, told in self._callers.items() if now < told[1]}
+        for answer, _ in self._callers.values():
+            answer(wire.Tidings(news))
+
+
+class HearsayActor(Actor[hs.Event]):
+    """What this gateway hears; told to its decision module as events."""
+
+    def __init__(
+        self, name: str, keepers: tuple[str, ...], terms: ExamineTerms, send: Send, decider: Decider,
+        supervisor: Supervisor,
+    ) -> None:  # fmt: skip
+        super().__init__("hearsay", supervisor)
+        self._terms, self._send, self._decider = terms, send, decider
+        self.hearsay = hs.Hearsay(name, keepers, terms, clock.boot_clock())
+
+    def start(self) -> None:
+        super().start()
+        self.supervisor.keep("hearsay", self._time)
+
+    async def _time(self) -> None:
+        while True:
+            self.post(hs.Tick())
+            await asyncio.sleep(self._terms.every / US)
+
+    def heard(self, frame: wire.Tidings) -> None:
+        self.post(hs.Heard(frame.news, frame.late))
+
+    async def receive(self, message: hs.Event) -> None:
+        for action in self.hearsay.handle(clock.boot_clock(), message):
+            match action:
+                case hs.Subscribe(keeper):
+                    self._send(keeper, wire.Hear(2 * self._terms.renewed))
+                case api.Hearsay(engine, answers):
+                    word = "answers again" if answers else "does not answer"
+                    text = f"{engine.decode('latin-1')} {word}, as is heard"
+                    self.supervisor.log.say("hearsay", text, "debug", engine=engine.decode("latin-1"))
+                    self._decider.post(Tell(action))
+
+    def view(self) -> dict[str, Any]:
+        """For people."""
+        told = self.hearsay.standing
+        silent = [engine.decode("latin-1") for engine in told.silent]
+        return {"token": told.token, "age_us": told.age, "silent": silent}
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -20,7 +20,7 @@
 from lotusstream.net.keeper import KeeperActor, KeeperTerms, open_store
 from lotusstream.net.peers import Answer, PeerLink, PeerManners, PeerServer
 from lotusstream.net.tasks import MAKERS, Agree, Around, Makers, Task
-from lotusstream.operator.fleet import COPIES, FleetText, KeeperAddress
+from lotusstream.operator.fleet import COPIES, EXAMINE, FleetText, KeeperAddress
 from lotusstream.protocol import peers as wire
 from lotusstream.quorum import events as ev
 from lotusstream.quorum.messages import Envelope
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from lotusstream.net.copies import CopiesActor, ManagerTask
+    from lotusstream.net.examine import HearsayActor, NewsDesk
     from lotusstream.net.promises import Promises
 
 ANSWER_WITHIN = 3.0  # seconds, of an operator's question
@@ -138,6 +139,17 @@
         makers = dict(MAKERS)
         if told.copies is not None:
             makers[COPIES] = self._make_manager
+        self._desk: NewsDesk | None = None
+        self.hearsay: HearsayActor | None = None
+        if told.examine is not None:
+            from lotusstream.net.examine import ExamineTask, HearsayActor, NewsDesk
+
+            examine, wait = told.examine, deployment.connect_timeout
+            keepers = tuple(each.name for each in told.keepers)
+            makers[EXAMINE] = lambda around: ExamineTask(around, examine, wait, decider, keepers, self._tell)
+            self.hearsay = HearsayActor(name, keepers, examine, self._tell, decider, supervisor)
+            if self.keeper is not None:
+                self._desk = NewsDesk(examine, self._newest_examiner)
         if (holds := told.holder(name)) is not None and told.copies is not None:
             from lotusstream.net.copies import CopiesActor
 
@@ -167,6 +179,8 @@
             self.copies.start()
         if self.promises is not None:
             self.promises.start()
+        if self.hearsay is not None:
+            self.hearsay.start()
 
     def leave(self) -> None:
         """A planned stop: leases are released and leadership is handed over, as far as that goes at once."""
@@ -202,6 +216,10 @@
             return
         if self.keeper is None:
             return
+        if self._desk is not None and isinstance(frame, wire.Hear):
+            self._desk.hear(frame, sender, answer)
+        elif self._desk is not None and isinstance(frame, wire.Tidings):
+            self._desk.take(frame.news)
         match frame:
             case wire.Quorum(envelope):
                 if envelope.sender == sender:
@@ -216,12 +234,21 @@
     def _told_by(self, frame: wire.AnyFrame, _sender: str, _answer: Answer) -> None:
         if isinstance(frame, wire.Told):
             self._take(frame)
-        elif isinstance(frame, wire.Kept):
-            self._kept(frame)
+        else:
+            self._answered(frame)
 
-    def _kept(self, frame: wire.AnyFrame) -> None:
+    def _answered(self, frame: wire.AnyFrame) -> None:
+        """By another gateway, or by this one to itself."""
         if self.promises is not None and isinstance(frame, wire.Kept):
             self.promises.post(frame)
+        elif self.hearsay is not None and isinstance(frame, wire.Tidings):
+            self.hearsay.heard(frame)
+
+    def _newest_examiner(self) -> int:
+        """Its token, as far as this keeper has heard."""
+        desk = self.keeper.desk if self.keeper is not None else None
+        lease = desk.table.leases.get(EXAMINE) if desk is not None else None
+        return lease.token if lease is not None else 0
 
     # Copies
 
@@ -234,7 +261,7 @@
 
     def _tell(self, name: str, frame: wire.AnyFrame) -> None:
         if name == self._name:
-            self._heard(frame, name, self._kept)
+            self._heard(frame, name, self._answered)
         elif (link := self.links.get(name)) is not None:
             link.put(frame)
 
@@ -372,6 +399,7 @@
             "held_us": since,
             "agreed": told["agreed"],
             "why": told["why"],
+            "examined": self.hearsay.view() if self.hearsay is not None else None,
         }
 
     async def give_up(self, task: str, heir: str) -> dict[str, Any]:
--- a/lotusstream/net/peers.py
+++ b/lotusstream/net/peers.py
@@ -46,10 +46,14 @@
         self._waiting, self._filled = 0, asyncio.Event()
         self._buffer = Buffer(4096, wire.LONGEST + wire.LENGTH.size)
         self.lost = 0
+        self._speaks = 1  # until the other side has said more
         self.sent = self.heard = 0  # writes, and frames that came
 
     def put(self, frame: wire.AnyFrame) -> bool:
-        """False where the queue is full: the frame is lost."""
+        """False where the queue is full: the frame is lost. What the other side does not understand, or has
+        not said yet to understand, is left out: it would break the line."""
+        if wire.since(frame) > self._speaks:
+            return True
         data = wire.encode(frame)
         if len(self._queue) >= QUEUE or self._waiting + len(data) > QUEUE_BYTES:
             self.lost += 1
@@ -101,10 +105,11 @@
             raise wire.BrokenPeer(
                 f"{first.name} is of group '{first.group}', here it is '{self._manners.group}'"
             )
+        self._speaks = first.speaks
         return first
 
     def greet(self) -> None:
-        self.put(wire.Greeting(wire.VERSION, self._manners.group, self._manners.name))
+        self.put(wire.Greeting(wire.VERSION, self._manners.group, self._manners.name, wire.SPEAKS))
 
     def close(self) -> None:
         self._sock.close()
--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -7,6 +7,7 @@
 
 from lotusstream.copies.manager import CopyTerms
 from lotusstream.copies.shards import SHARDS
+from lotusstream.examine.news import ExamineTerms
 from lotusstream.leases.granter import LeaseTerms
 from lotusstream.operator.grammar import Word
 from lotusstream.operator.problems import Problem, nearest
@@ -15,11 +16,15 @@
 from lotusstream.quorum.keeper import Pace
 
 MS, SECOND = 1_000, 1_000_000
+LEAST_LOOK = 100 * MS
+REPAIR_PACE = 8 << 20  # bytes a second
+SCRUB = 3600 * 1_000_000
 LEASE, DRIFT, HEARTBEAT, PATIENCE = 10 * SECOND, 0.02, 100 * MS, SECOND
-MOVES, COPIES = "moves", "copies"
+MOVES, COPIES, EXAMINE = "moves", "copies", "examine"
 TASKS = {
     MOVES: "who begins moves of tenants between cells",
     COPIES: "who decides where copies are held",
+    EXAMINE: "who examines engines for all",
 }  # what a gateway may act for, and what it means
 
 
@@ -55,11 +60,13 @@
     holders: tuple[HolderAddress, ...] = ()
     copies: CopyTerms | None = None
     remember: int | None = None  # how long a command with a mark is known to all gateways
+    examine: ExamineTerms | None = None
 
     def descriptors(self, name: str) -> int:
         """How many the gateway of this name needs for it at most."""
         serves = self.keeper(name) or self.holder(name)
-        return len({*self.keepers, *self.holders}) + 4 + (self.callers + 4 if serves else 0)
+        looks = self.examine.most if self.examine is not None and EXAMINE in self.tasks else 0
+        return len({*self.keepers, *self.holders}) + 4 + (self.callers + 4 if serves else 0) + looks
 
     def holder(self, name: str) -> HolderAddress | None:
         return next((each for each in self.holders if each.name == name), None)
@@ -101,8 +108,14 @@
                   (Argument("a number", number(1, 512)),)),
         Directive("repairs", "how many shards are copied anew at a time",
                   (Argument("a number", number(1, 512)),)),
+        Directive("repair-pace", "how many bytes a second a holder gives to all that it fills",
+                  (Argument("a size", size),)),
+        Directive("scrub", "the time in which all that is held is read again, and compared with its copies",
+                  (Argument("a time", time),)),
         Directive("remember", "how long answers of commands with a mark are held for their repeats",
                   (Argument("a time", time),)),
+        Directive("examine", "how often one gateway asks each engine, for all, whether it answers",
+                  (Argument("a time", time),)),
         Directive("holds", "for how many bytes of others a holder has room; without it there is no bound",
                   (Argument("a size", size),)),
         Directive("store", "the folder of this keeper's log", (Argument("a path", path),)),
@@ -149,6 +162,7 @@
         ),
         _copies(block, LeaseTerms(length, margin, drift)),
         block.value("remember", "a time"),
+        ExamineTerms(every) if (every := block.value("examine", "a time")) else None,
     )
     return found, list(_wrong(file, block, found))
 
@@ -159,8 +173,10 @@
     shards = block.value("shards", "a number", SHARDS)
     repairs = block.value("repairs", "a number", 4)
     most = block.value("holds", "a size", 0)
+    rate = block.value("repair-pace", "a size", REPAIR_PACE)
     copies, promise = node.values["a number"], node.values["a promise"]
-    return CopyTerms(copies, promise, leases, repairs, shards, most=most)
+    scrub = block.value("scrub", "a time", SCRUB)
+    return CopyTerms(copies, promise, leases, repairs, shards, most=most, rate=rate, scrub=scrub)
 
 
 def _wrong(file: str, block: Node, told: FleetText) -> Iterator[Problem]:
@@ -194,6 +210,11 @@
         yield wrong("remember", "nothing is held without 'copies'", "copies 3 promise 2, and holders")
     elif told.holders or COPIES in told.tasks:
         yield wrong("holder", "holders without 'copies'", "say on how many disks: copies 3 promise 2")
+    if told.examine is None and EXAMINE in told.tasks:
+        yield wrong("tasks", "nothing says how often engines are examined", "examine 1s")
+    if told.examine is not None and told.examine.every < LEAST_LOOK:
+        what = f"each engine examined every {write_time(told.examine.every)}"
+        yield wrong("examine", what, f"{write_time(LEAST_LOOK)} or more would do")
     pace, terms = told.pace, told.leases
     if pace.heartbeat < MS:
         yield wrong("heartbeat", "a heartbeat under 1ms", f"{write_time(HEARTBEAT)} would do")
--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -28,6 +28,7 @@
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
+LONGEST_WORD = 20  # shortest targets for which another's word may keep an engine aside
 
 
 class Usual:
@@ -80,6 +81,7 @@
             api.ClientGone: self._client_gone, api.Stopping: self._stop, api.Settled: self._settle,
             api.Reduced: self._reduce, api.Asked: self._tell_beliefs, api.Confined: self._confine,
             api.Rehomed: self._rehome, api.Dropped: self._drop, api.RanElsewhere: self._recall,
+            api.Hearsay: self._hear,
         }  # fmt: skip
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -261,10 +263,8 @@
 
     def _end_try(self, event: api.Ended) -> None:
         be = self.backends.get(event.engine)
-        held = be.out.pop(event.command << 8 | event.send, None) if be else None
+        held = be.ends(event.command << 8 | event.send) if be else None
         if be and held:
-            be.threads -= held[0].profile.threads
-            be.pool.out -= held[0].profile.threads
             self._judge(be, *held, event)
         cmd = held[0] if held else self.open.get(event.command)
         if cmd is None or event.send >= len(cmd.tries):
@@ -312,6 +312,16 @@
         span = self.shortest * min(4, be.failures - FAILURES + 1) * (0.5 + self._chance())
         be.aside_at, be.aside_until = self.now, self.now + int(span)
 
+    def _hear(self, event: api.Hearsay) -> None:
+        """Another's word sets nobody aside. It ends a time aside, at once for some and soon for all: guards
+        what has come back against all gateways' trials in one moment. Or it spares trials, for so long."""
+        be = self.backends.get(event.engine)
+        if be and be.aside_until and event.answers:
+            be.aside_until = min(be.aside_until, self.now + int(self.shortest * self._chance()))
+        elif be and be.aside_until:
+            most = be.aside_at + LONGEST_WORD * self.shortest
+            be.aside_until = max(be.aside_until, min(self.now + self.shortest, most))
+
     def _learn_pace(self, be: Backend, cmd: Command, latency: int, alone: float) -> None:
         pace = math.log(max(latency, 1) / max(alone, 1.0))
         for ring in (be.paces, be.pool.paces, be.pool.usual[cmd.kind].paces):
@@ -567,15 +577,7 @@
         stall, alone = self._added_stall(cmd, be), cmd.work / cmd.profile.threads
         expected = alone * max(1.0, be.pace)
         a_try = Try(be, self.now, alone, expected, len(cmd.tries), self.now + expected + stall, stall > 0)
-        cmd.tries.append(a_try)
-        be.heard = be.heard if be.out else self.now
-        be.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
-        be.threads += cmd.profile.threads
-        be.pool.room, be.pool.out = be.pool.room - cmd.profile.threads, be.pool.out + cmd.profile.threads
-        be.ran(cmd.group, self.now, WARM_GROUPS)
-        if be.pushed is not None:
-            be.pushed.add(self.now, cmd.weight)
-            be.cold_spent += cmd.weight
+        be.begins(cmd, a_try, WARM_GROUPS)
         if cmd.profile.loads:  # scarce cores go first to what others stand behind
             be.loads[cmd.group] = (cmd, a_try.finish)
         named = self.reduced.priorities[cmd.kind] if self.reduced else None
--- a/lotusstream/protocol/peers.py
+++ b/lotusstream/protocol/peers.py
@@ -10,13 +10,15 @@
 
 import msgspec
 
-from lotusstream.copies.messages import AnyWord, Assigned, Holding
+from lotusstream.copies.messages import AnyWord, Assigned, Compare, Compared, Holding
 from lotusstream.copies.shards import Holder, Place
+from lotusstream.examine.news import News
 from lotusstream.leases.table import AnyWish, Granted
 from lotusstream.quorum.messages import Envelope
 
 LENGTH = struct.Struct("!I")
-VERSION = 1
+VERSION = 1  # of the form of frames: another one can't be read at all
+SPEAKS = 2  # the newest frames that are understood here
 LONGEST = 2 << 20  # a record of the log is at most 1 MB
 
 
@@ -29,11 +31,13 @@
 
 
 class Greeting(Frame, frozen=True, tag="greeting"):
-    """`group`: a told name that keeps strangers out by mistake; it is no secret."""
+    """`group`: a told name that keeps strangers out by mistake; it is no secret. `speaks`: the newest frames
+    that this side understands; programs of before there were any others do not say it."""
 
     version: int
     group: str
     name: str
+    speaks: int = 1
 
 
 class Ping(Frame, frozen=True, tag="ping"):
@@ -125,7 +129,31 @@
     home: str
 
 
-AnyFrame = Greeting | Ping | Pong | Quorum | Ask | Look | Alter | Told | Word | Beat | Beaten | Keep | Kept
+class Hear(Frame, frozen=True, tag="hear"):
+    """Asks a keeper to pass on what is found of engines, for `span` microseconds."""
+
+    span: int
+
+
+class Tidings(Frame, frozen=True, tag="tidings"):
+    """From who examines engines to the keepers, and on to all. `late`: microseconds since it was told."""
+
+    news: News
+    late: int = 0
+
+
+AnyFrame = (
+    Greeting | Ping | Pong | Quorum | Ask | Look | Alter | Told | Word | Beat | Beaten | Keep | Kept
+    | Hear | Tidings
+)  # fmt: skip
+
+SINCE: dict[type[Any], int] = {Hear: 2, Tidings: 2, Compare: 2, Compared: 2}  # others are of the first
+
+
+def since(frame: AnyFrame) -> int:
+    """What a program has to speak to understand this."""
+    return SINCE.get(type(frame.word if isinstance(frame, Word) else frame), 1)
+
 
 _FRAMES: msgspec.msgpack.Decoder[AnyFrame] = msgspec.msgpack.Decoder(AnyFrame)
 
--- a/lotusstream/record/log.py
+++ b/lotusstream/record/log.py
@@ -110,6 +110,31 @@
     return payloads, at
 
 
+class LogLook:
+    """The file as it is now, to be read beside further writes: they only follow it, or make another file."""
+
+    def __init__(self, descriptor: int, size: int) -> None:
+        self._descriptor, self._size = descriptor, size
+
+    def damaged(self) -> int | None:
+        """The first byte that can't be read on from, or None. Frame by frame: no memory for the whole."""
+        with open(self._descriptor, "rb") as file:
+            try:
+                if file.read(HEADER.size) != header():
+                    return 0
+                at = HEADER.size
+                while at < self._size:
+                    head = file.read(FRAME.size)
+                    length = FRAME.unpack(head)[0] if len(head) == FRAME.size else 0
+                    whole = head + file.read(min(length, LONGEST))
+                    if (payload := _frame_at(whole, 0)) is None:
+                        return at
+                    at += FRAME.size + len(payload)
+            except OSError:
+                return file.tell()
+        return None
+
+
 class Log:
     """One file, one writer. `payloads`: what was read when it was opened."""
 
@@ -168,6 +193,14 @@
             hint = "start the version that wrote it, or a later one"
             raise NewerLog(self._path, f"format {version}, and {VERSION} is the newest known here", hint)
 
+    def look(self) -> LogLook:
+        """For reading again what is on the disk so far. Not beside a write of this process. Raises
+        DiskTrouble."""
+        try:
+            return LogLook(os.open(self._path, os.O_RDONLY | os.O_CLOEXEC), self.size)
+        except OSError as error:
+            raise self._trouble(error) from error
+
     def append(self, *payloads: bytes) -> None:
         """Returns once they are on the disk, by one sync for all. Raises DiskTrouble: then none is in the
         log, now or later; after a crash in it a beginning of them may be."""
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -110,8 +110,25 @@
         self.pushed: Ring | None = None  # work sent while cold
         self.cold_spent = 0.0
 
-    def ran(self, group: int, now: int, keep: int) -> None:
-        self.warm.pop(group, None)
-        self.warm[group] = now
+    def begins(self, cmd: Command, a_try: Try, keep: int) -> None:
+        """A send goes out. `keep`: how many groups stay warm there."""
+        threads = cmd.profile.threads
+        cmd.tries.append(a_try)
+        self.heard = self.heard if self.out else a_try.at
+        self.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
+        self.threads += threads
+        self.pool.room, self.pool.out = self.pool.room - threads, self.pool.out + threads
+        self.warm.pop(cmd.group, None)
+        self.warm[cmd.group] = a_try.at
         if len(self.warm) > keep:
             del self.warm[next(iter(self.warm))]
+        if self.pushed is not None:
+            self.pushed.add(a_try.at, cmd.weight)
+            self.cold_spent += cmd.weight
+
+    def ends(self, send: int) -> tuple[Command, Try] | None:
+        """A send has its outcome, if it is known here."""
+        if (held := self.out.pop(send, None)) is not None:
+            self.threads -= held[0].profile.threads
+            self.pool.out -= held[0].profile.threads
+        return held
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -115,13 +115,15 @@
     await next_holder(rig, act)
 
 
-async def test_a_partition_that_turns_over_again_and_again(fleet):
+async def test_a_partition_that_heals_and_turns_over_every_second_for_a_minute(fleet):
     rig = await fleet(5, 5)
     await holder(rig)
-    for first in range(8):
+    for first in range(60):
         rig.cut(*(rig.names[(first + at) % 5] for at in range(2)))
         await asyncio.sleep(0.7)
         rig.heal()
+        await asyncio.sleep(0.3)
+    assert len({act.token for act in rig.witness.acts}) > 1  # it did pass on
     act = await holder(rig)
     await rig.gateways[act.holder].kill()
     await next_holder(rig, act)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -485,3 +485,48 @@
     assert [send.engine for send in host.sends(901)] == [engine(1).id, engine(2).id]
     host.tell(api.Dropped(901))
     assert host.finals(901) == [api.Shed(901, 500 * MS)]
+
+
+def set_aside(host: Host) -> bytes:
+    """The engine where nobody listened any more when a command came."""
+    command = host.take(timeout=6 * S, hint=None)
+    lost = host.sends(command)[-1].engine
+    host.end(command, api.Outcome.CONNECT_FAILED, 3 * S // 2)
+    assert belief(host, lost).aside_until
+    return lost
+
+
+def belief(host: Host, engine_id: bytes) -> api.Belief:
+    (told,) = [each for each in host.tell(api.Asked()) if isinstance(each, api.Believed)]
+    return next(each for each in told.engines if each.engine == engine_id)
+
+
+def test_hearsay_sets_nobody_aside(host: Host) -> None:
+    one = engine(1).id
+    host.tell(*[api.Hearsay(one, False)] * 9)
+    assert belief(host, one).aside_until is None and belief(host, one).failures == 0
+    host.tell(api.Hearsay(b"nobody", False))
+
+
+def test_hearsay_ends_a_time_aside_soon_and_not_for_all_gateways_at_once() -> None:
+    left = set()
+    for seed in range(1, 9):
+        host = Host(seed=seed)
+        host.engines(engine(1), engine(2), engine(3))
+        lost = set_aside(host)
+        before = belief(host, lost).aside_until
+        host.tell(api.Hearsay(lost, True))
+        after = belief(host, lost).aside_until
+        assert before is not None and after is not None and after <= min(before, host.now + S)
+        left.add(after - host.now)
+    assert len(left) > 4
+
+
+def test_hearsay_spares_trials_for_a_bounded_time_only(host: Host) -> None:
+    lost = set_aside(host)
+    began, alone = host.now, belief(host, lost).aside_until or 0
+    for _ in range(60):
+        host.now += S // 2
+        host.tell(api.Hearsay(lost, False))
+    until = belief(host, lost).aside_until or 0
+    assert alone + S < until <= began + 21 * S < host.now  # a trial is due, whatever is heard
