A copy that the scrub fills anew counts only once it has all; what is left of leases and copies

Seen on reading the change again: a copy that stands at the same change and holds something else was counted by its next word, before its parts had come (replica.py, Stand and Copied); and every part that was said again put off the time after which a filling begins anew. The odd one now counts with its last part, or after a lease, since that word may be lost; only a part that waited for the pace begins its time anew.

--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -138,7 +138,7 @@
 @dataclass(slots=True)
 class Filling:
     """What a home is giving to a copy, one part after the other. `at`: the one that is out, since when, or
-    that waits for the told pace until `due`."""
+    that waits for the told pace until `due`. `odd`: it held something else, and counts once it has all."""
 
     session: str
     last: tuple[int, int]
@@ -147,6 +147,7 @@
     since: int
     at: int = 0
     due: int | None = None
+    odd: bool = False
 
 
 @dataclass(slots=True)
@@ -362,7 +363,7 @@
         for each in odd.fill:
             parts = ms.in_parts(shard.holdings.values(), self._terms.part)
             shard.copied[each] = -1  # nothing is promised with it before it has all
-            filling = Filling(shard.sessions[each], shard.last, parts, self._now, self._now)
+            filling = Filling(shard.sessions[each], shard.last, parts, self._now, self._now, odd=True)
             shard.filling[each] = filling
             self._say_part(shard, each, filling)
         if odd.ahead is not None:
@@ -584,6 +585,13 @@
     def _stands_still(self, filling: Filling) -> bool:
         return filling.due is None and self._now - filling.since > self._terms.leases.length
 
+    def _odd(self, shard: Shard, to: Place, session: str) -> Filling | None:
+        """While it is filled though it stands at the same change; not for ever: its last word may be lost."""
+        found = shard.filling.get(to)
+        if found is None or not found.odd or found.session != session or self._stands_still(found):
+            return None
+        return found
+
     def _say_part(self, shard: Shard, to: Place, filling: Filling) -> None:
         """At the told pace, over all that this holder fills: guards the commands of customers, who wait for
         the same loops and disks."""
@@ -592,7 +600,8 @@
             filling.due = self._paced
             return
         part, at, count = filling.parts[filling.at], filling.at, len(filling.parts)
-        filling.due, filling.since = None, self._now
+        if filling.due is not None:
+            filling.due, filling.since = None, self._now
         if self._terms.rate:
             self._paced = self._now + sum(map(ms.size_of, part)) * 1_000_000 // self._terms.rate
         epoch, begun = shard.assigned.epoch, filling.begun
@@ -655,6 +664,8 @@
                     return
                 if (last_epoch, last_seq) > shard.last and sender in shard.backups():
                     self._yield_to(shard, sender)
+                elif (under_way := self._odd(shard, sender, session)) is not None:
+                    self._say_part(shard, sender, under_way)
                 elif (last_epoch, last_seq) == shard.last:  # it leaves only once that is on its disk
                     shard.sessions[sender], shard.copied[sender] = session, last_seq
                 elif shard.sessions.get(sender) != session or shard.copied.get(sender, -1) < shard.last[1]:
@@ -689,7 +700,8 @@
                 self._say(sender, ms.Copied(number, epoch, self.session, op.seq), rests=True)
             case ms.Copied(number, epoch, session, seq):
                 shard = self._shard(number)
-                if self._mine(shard, epoch) and shard.sessions.get(sender) == session:
+                ours = self._mine(shard, epoch) and shard.sessions.get(sender) == session
+                if ours and self._odd(shard, sender, session) is None:
                     shard.copied[sender] = max(shard.copied[sender], seq)
             case ms.Compare(number, epoch, seq, part, kept_after):
                 shard = self._shard(number)
