Parts that wait for the pace are made when they leave; one way to ask a rig who acts for a task

Seen on reading the whole change again, by no failing run: - replica.py, Filling: the parts of a shard were made before they waited for the told pace. What came meanwhile was missing from them, and a copy that had applied it passed the first part over as overtaken; beyond the 64 changes of the tail a busy shard could have been filled again and again. They are made when the first one leaves. - replica.py, next_at went through all shards at every event, which the driving of single shards had just saved: whether a part waits is now remembered where it is put off. - net/copies.py: a damaged log of a holder without shards would not have been written anew (an empty list stood for 'not whole'). - examiner.py: a property that nothing used; two names for four looks. Three stories each asked on their own who acts for a task: FleetRig.acts_for.

--- a/benchmarks/copies.py
+++ b/benchmarks/copies.py
@@ -166,7 +166,7 @@
                 1, at + 1, Holding(key, "p" * 32, Held.ANSWERED, "g1.0123456789ab/1/1", until, b"x" * 60)
             )
             records.append(ms.KeptOp(shard_of(key, SHARDS), op))
-        store.write([rp.Save(first, tuple(records))], [])
+        store.write([rp.Save(first, tuple(records))], None)
     size = os.path.getsize(os.path.join(folder, "copies.log"))
     store.close()
     del store
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -245,11 +245,13 @@
         self._comparing: Comparing | None = None
         self._compared, self._compared_at = 0, now  # ranges so far
         self._paced = 0  # until when what was given to copies fills the told pace
+        self._put_off = False  # a part waits for that
         self._touched: set[int] | None = set()  # shards that the event is about; None: all
 
     def handle(self, now: int, event: Event) -> list[Action]:
         self._now, self._out, self._turn = max(now, self._now), [], []
         self._touched = None if isinstance(event, Tick | LeaseFrom | Leave) else set()
+        self._put_off = self._put_off and self._touched is not None  # told anew where all shards are driven
         match event:
             case Heard(sender, word):
                 self._touch(word.assigned.shard if isinstance(word, ms.Begin) else word.shard)
@@ -284,9 +286,7 @@
     @property
     def next_at(self) -> int | None:
         """When a part may be given that waits for the told pace: a Tick is due then."""
-        homes = [shard for shard in self.shards.values() if self._home(shard)]
-        filled = [each.due for shard in homes for each in shard.filling.values()]
-        return min((due for due in filled if due is not None), default=None)
+        return self._paced if self._put_off else None
 
     @property
     def leased(self) -> bool:
@@ -472,7 +472,7 @@
             for each in (*mine.backups, *mine.joining):
                 self._say(each, ms.Begin(mine), rests=False)
         for to, filling in shard.filling.items():
-            if filling.due is not None and self._now >= filling.due:
+            if filling.due is not None:
                 self._say_part(shard, to, filling)
         while shard.waiting and self._now - shard.waiting[0][2] > self._terms.leases.length:
             why = "its copies do not answer"
@@ -597,11 +597,14 @@
         the same loops and disks."""
         assert shard.assigned is not None
         if self._terms.rate and self._now < self._paced:
-            filling.due = self._paced
+            filling.due, self._put_off = self._paced, True
             return
-        part, at, count = filling.parts[filling.at], filling.at, len(filling.parts)
+        if filling.due is not None and not filling.at:  # it follows what came while it waited
+            filling.parts, filling.last = ms.in_parts(shard.holdings.values(), self._terms.part), shard.last
+            filling.begun = self._now
         if filling.due is not None:
             filling.due, filling.since = None, self._now
+        part, at, count = filling.parts[filling.at], filling.at, len(filling.parts)
         if self._terms.rate:
             self._paced = self._now + sum(map(ms.size_of, part)) * 1_000_000 // self._terms.rate
         epoch, begun = shard.assigned.epoch, filling.begun
--- a/lotusstream/examine/examiner.py
+++ b/lotusstream/examine/examiner.py
@@ -89,10 +89,6 @@
         waiting = [each.due for each in self._engines.values() if each.out is None]
         return min([self._told + self._terms.every, *waiting])
 
-    @property
-    def standing(self) -> dict[EngineId, bool | None]:
-        return {engine: each.answers for engine, each in self._engines.items()}
-
     def _list(self, engines: tuple[EngineId, ...]) -> None:
         known, every = self._engines, self._terms.every
         # spread: a fleet's engines are not all looked at in one moment
@@ -135,6 +131,6 @@
         told = [
             (each.answers, engine)
             for engine, each in self._engines.items()
-            if each.answers is not None and (not each.answers or self._now - each.since < self._terms.told)
+            if each.answers is not None and (not each.answers or self._now - each.since < self._terms.old)
         ]
         return tuple(Row(engine, answers) for answers, engine in sorted(told)[:LONGEST])
--- a/lotusstream/examine/news.py
+++ b/lotusstream/examine/news.py
@@ -39,14 +39,9 @@
         """Until one that did not answer is looked at again."""
         return self.every // 4
 
-    @property
-    def told(self) -> int:
-        """For how long it is told that an engine answers again."""
-        return 4 * self.every
-
     @property
     def old(self) -> int:
-        """News of that age says nothing any more."""
+        """News of that age says nothing any more; for so long it is told that an engine answers again."""
         return 4 * self.every
 
     @property
--- a/lotusstream/lab/fleet/rig.py
+++ b/lotusstream/lab/fleet/rig.py
@@ -406,6 +406,16 @@
                 return None
         return rows if len(rows) == shards else None
 
+    async def acts_for(self, task: str, other_than: str = "", within: float = 20.0) -> str:
+        """The name of a gateway that says it may act for the task."""
+        async with asyncio.timeout(within):
+            while True:
+                for name, gateway in self.gateways.items():
+                    asked = gateway.up and not gateway.stopped and name != other_than
+                    if asked and (await gateway.ask(wire.Leases()))["here"].get(task):
+                        return name
+                await asyncio.sleep(0.05)
+
     async def until(
         self, wanted: Callable[[Any], bool], of: str, request: wire.Asking, within: float = 20.0
     ) -> Any:
--- a/lotusstream/net/copies.py
+++ b/lotusstream/net/copies.py
@@ -75,10 +75,10 @@
         self._writing = threading.Lock()
         self._least = max(1 << 20, 2 * self._log.size)
 
-    def write(self, saves: list[rp.Save], whole: list[ms.Record]) -> None:
+    def write(self, saves: list[rp.Save], whole: list[ms.Record] | None) -> None:
         """`whole`: all shards as they are, where the log is to be written anew. Raises DiskTrouble."""
         with self._writing:
-            if whole:
+            if whole is not None:
                 records: list[Any] = [Identity(self.disk), *whole]
                 self._log.rewrite(map(msgspec.msgpack.encode, records))
                 self._least = max(1 << 20, 2 * self._log.size)
@@ -273,7 +273,7 @@
         """All that has come meanwhile, by one sync."""
         while self._saves or self._anew:
             saves, self._saves = self._saves, []
-            whole = self._whole() if self._store.is_long or self._anew else []
+            whole = self._whole() if self._store.is_long or self._anew else None
             self._anew = False
             try:
                 await asyncio.to_thread(self._store.write, saves, whole)
--- a/tests/fleet/test_examine_on_processes.py
+++ b/tests/fleet/test_examine_on_processes.py
@@ -28,16 +28,6 @@
     return max(tokens)
 
 
-async def examiner(rig, other_than=""):
-    async with asyncio.timeout(20):
-        while True:
-            for name, gateway in rig.gateways.items():
-                asks = gateway.up and not gateway.stopped and name != other_than
-                if asks and (await gateway.ask(wire.Leases()))["here"]["examine"]:
-                    return name
-            await asyncio.sleep(0.05)
-
-
 def looks(engine):
     return [call for call in engine.calls.items if call.method == "GET" and call.path.startswith("/x/0000")]
 
@@ -47,7 +37,7 @@
     first = await heard(rig, lambda told: told["token"] and not told["silent"])
     dead.die()
     await heard(rig, lambda told: told["silent"] == [dead.uid])
-    gone = await examiner(rig)
+    gone = await rig.acts_for("examine")
     await rig.gateways[gone].kill()
     later = await heard(rig, lambda told: told["token"] > first and told["silent"] == [dead.uid], but=gone)
     await dead.start(dead.port)
@@ -74,7 +64,7 @@
 
 async def test_a_holder_that_was_stopped_tells_nothing_under_its_old_token(rig):
     first = await heard(rig, lambda told: told["token"])
-    old = await examiner(rig)
+    old = await rig.acts_for("examine")
     rig.gateways[old].signal(19)
     later = await heard(rig, lambda told: told["token"] > first, but=old)
     dead = rig.engines[2]
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -254,16 +254,6 @@
 end"""
 
 
-async def driver(rig, other_than=""):
-    async with asyncio.timeout(20):
-        while True:
-            for name in rig.names:
-                told = await rig.gateways[name].ask(wire.Leases())
-                if told["here"]["moves"] and name != other_than:
-                    return name
-            await asyncio.sleep(0.05)
-
-
 async def moved(rig, name):
     """Begun there, once all agree on its plan."""
     async with asyncio.timeout(20):
@@ -278,14 +268,14 @@
 
 async def test_a_hand_over_in_the_midst_of_a_move_undoes_it(fleet):
     rig = await fleet(3, 3, tasks=("moves",), more=(CELLS,))
-    first = await driver(rig)
+    first = await rig.acts_for("moves")
     other = next(name for name in rig.names if name != first)
     with pytest.raises(Lost, match="another gateway drives moves"):
         await rig.gateways[other].ask(wire.MoveCell("library-7", "other"))
     told = await moved(rig, first)
     assert [move["tenant"] for move in told["moves"]] == ["library-7"]
     await rig.gateways[first].ask(wire.GiveUpLease("moves", other))
-    assert await driver(rig, first) == other
+    assert await rig.acts_for("moves", first) == other
 
     def undone(told):
         return [move["step"] for move in told["moves"]] in (["undone"], [])
@@ -303,14 +293,14 @@
 
 async def test_a_gateway_with_another_plan_of_the_same_number_begins_no_move(fleet):
     rig = await fleet(3, 3, tasks=("moves",), more=(CELLS,))
-    first = await driver(rig)
+    first = await rig.acts_for("moves")
     await moved(rig, first)
     other = next(name for name in rig.names if name != first)
     file = rig.gateways[other].folder / "operator.conf"
     file.write_text(file.read_text().replace("50%", "60%"))
     rig.gateways[other].signal(signal.SIGHUP)
     await rig.gateways[first].ask(wire.GiveUpLease("moves", other))
-    await driver(rig, first)
+    await rig.acts_for("moves", first)
     async with asyncio.timeout(20):
         while not any("is agreed on, and differs" in line for line in rig.gateways[other].lines):
             await asyncio.sleep(0.05)
--- a/tests/fleet/test_two_versions_on_processes.py
+++ b/tests/fleet/test_two_versions_on_processes.py
@@ -1,6 +1,5 @@
 """Stories of the program as it was before, side by side with the program as it is."""
 
-import asyncio
 import io
 import subprocess
 import tarfile
@@ -66,15 +65,6 @@
         assert not [line for each in rig.gateways.values() for line in each.lines if "Traceback" in line]
 
 
-async def examiner(rig):
-    async with asyncio.timeout(20):
-        while True:
-            for name in ("g1", "g3", "g4"):
-                if (await rig.gateways[name].ask(wire.Leases()))["here"]["examine"]:
-                    return name
-            await asyncio.sleep(0.05)
-
-
 async def test_news_of_engines_is_not_told_to_a_version_that_does_not_know_it(before):
     """It would break its lines over and over."""
     directives = ("heartbeat 60ms", "election 400ms", "lease 2s", "drift 5%")
@@ -85,7 +75,7 @@
         old.program, rig.directives, rig.tasks = before, directives, ()
         await old.start()
         await old.ready()
-        name, dead = await examiner(rig), rig.engines[0]
+        name, dead = await rig.acts_for("examine"), rig.engines[0]
         await rig.until(lambda told: told["links"]["g2"] == "connected", name, wire.Peers())
         taken = rig.relays[name, "g2"].taken
         for silent in ([dead.uid], []):
