Cold engines: nothing is saved up; each window's part is drawn, and holds for half of it

Seen by reading _bears: where a gateway's part of a window is thinner than a command it saved up from the moment the start was told, without bound. Probe: 30 gateways that had nothing to do for 6 s and then all turn to one cold engine send 25 commands in one window where the settings allow 7.2 (14.6 with what is put down to chance). Ruled out: the other branch, of parts wider than a command (a ring over the window bounds it), and restarts (a new level is drawn; its story passes before and after). At fault: the last line of Gateway._bears, and cold_spent in Backend. Now each gateway draws for each window, which begins at a time of its own, whether it may send one command; the draw holds for the first half. The sum stays under 0.6 of the budget on average, and under 0.9 in a moment that is everyone's.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -125,7 +125,7 @@
                 cores = self.given.kinds[entry.kind].cores if entry.kind < len(self.given.kinds) else 1.0
                 fresh = Backend(entry, self.pools[None], cores, Ring(8 * self.shortest, BUCKETS), OPEN_WIDTH,
                                 CREDIT_START)  # fmt: skip
-                fresh.chill(entry.started or None, self.now, self._chance())
+                fresh.chill(entry.started or None, self._chance())
                 if known is not None:
                     fresh.out, fresh.threads = known.out, known.threads
                 self.backends[entry.id] = fresh
@@ -289,7 +289,7 @@
         if event.outcome is Outcome.ANSWERED:
             be.credit = min(CREDIT_MOST, be.credit + CREDIT_PER_ANSWER)
             if be.aside_until and be.lost and a_try.at >= be.aside_at:  # may have restarted, unlisted
-                be.chill(self.now, self.now, self._chance())
+                be.chill(self.now, self._chance())
             be.failures, be.aside_until, be.lost = 0, None, False
             work = event.work or event.latency * cmd.profile.threads * min(be.pool.best, be.pace) / be.pace
             if not a_try.stalled:
@@ -365,9 +365,9 @@
         self._forget(cmd)
 
     def _remembered(self, cmd: Command, after: int) -> bool:
-        """A repeat that comes after that time is still dropped by the engines."""
-        ran = cmd.ran
-        return not ran or self.now + after + self.look_every < ran[0].at + cmd.profile.remembered_for
+        """A repeat that comes after that time is still dropped by engines, even if it connects late."""
+        ran, by = cmd.ran, self.now + after + self.look_every + self.allowed.connect_timeout
+        return not ran or by < ran[0].at + cmd.profile.remembered_for
 
     def _may_send_again(self, cmd: Command) -> bool:
         # guards all engines against commands that none can use: an error of two is the command's own
@@ -402,15 +402,20 @@
         return until if until is not None and self.now < until else None
 
     def _bears(self, be: Backend, weight: float) -> bool:
-        """Guards a just started engine against the sum of all gateways. Where this one's part in a window is
-        less than the command, it saves up for it, from a level drawn by chance: the sum then keeps to the
-        budget on average, and no moment is everyone's."""
-        rate = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even
-        part = rate * self.duties.overload_for
-        be.pushed = be.pushed or Ring(self.duties.overload_for, BUCKETS)
+        """Guards a just started engine against the sum of all gateways, also where all turn to it in one
+        moment, or have just restarted and don't know what they sent. Where this one's part in a window is
+        less than the command, it draws for each window whether it may send one; windows begin at another
+        time for each gateway, and the sum keeps to the budget on average. Nothing is saved up, and what was
+        drawn holds for half of the window: a moment that is everyone's takes of one and a half at most."""
+        span = self.duties.overload_for
+        part = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even * span
+        be.pushed = be.pushed or Ring(span, BUCKETS)
+        room = part - be.pushed.total(self.now)[0]
         if weight <= part:
-            return weight <= part - be.pushed.total(self.now)[0]
-        return be.phase * weight <= rate * (self.now - be.cold_told) - be.cold_spent
+            return weight <= room
+        turn, passed = divmod(self.now + int(be.phase * span), span)
+        lot = drawn(be.entry.id, zlib.crc32(turn.to_bytes(8, "little"), self.seed))
+        return 2 * passed < span and lot * weight <= room
 
     def _fits(self, threads: int, be: Backend) -> bool:
         """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -103,12 +103,11 @@
         self.heard, self.failures, self.aside_at = 0, 0, 0
         self.aside_until: int | None = None
         self.lost = False  # some of the failures were no word of its own
-        self.chill(None, 0, 0.0)
+        self.chill(None, 0.0)
 
-    def chill(self, since: int | None, told: int, phase: float) -> None:
-        self.cold_at, self.cold_told, self.phase = since, told, phase
+    def chill(self, since: int | None, phase: float) -> None:
+        self.cold_at, self.phase = since, phase
         self.pushed: Ring | None = None  # work sent while cold
-        self.cold_spent = 0.0
 
     def begins(self, cmd: Command, a_try: Try, keep: int) -> None:
         """A send goes out. `keep`: how many groups stay warm there."""
@@ -124,7 +123,6 @@
             del self.warm[next(iter(self.warm))]
         if self.pushed is not None:
             self.pushed.add(a_try.at, cmd.weight)
-            self.cold_spent += cmd.weight
 
     def ends(self, send: int) -> tuple[Command, Try] | None:
         """A send has its outcome, if it is known here."""
