A configuration half written at SIGHUP is read once it is whole; events of one answer are one

Seen by reading. (1) reload() in cli: a file that is half written when SIGHUP comes was refused once and never looked at again, so the gateway followed the old board for good; two signals at once read it twice. Now it is looked at again until it has changed, for as long as news takes to count as told. (2) Handlers were installed after the file was read: SIGHUP in between ended the program. They come first now, and such a signal has the file read again. (3) EngineList told each event of one answer by itself: a whole list that omits an engine which a later event of the same answer lists dropped its connections, its actor, and in the module its budgets and pace. They are folded into one now. Ruled out: a poll's answer in the mailbox when the board changes (Polled names its board and is dropped), a poll that hangs in connecting, head or body (one time-out covers the call).

--- a/lotusstream/cli/__init__.py
+++ b/lotusstream/cli/__init__.py
@@ -10,20 +10,23 @@
 import socket
 import struct
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
 import uvloop
 
 from lotusstream import __version__
+from lotusstream.net.connection import US
 from lotusstream.net.gateway import Configuration, GatewayServer, UnusableConfiguration, read_configuration
-from lotusstream.protocol import front
+from lotusstream.protocol import front, http
 from lotusstream.protocol.tables import table_group
 
 if TYPE_CHECKING:
     from lotusstream.operator.file import OperatorFile
 
 PROBE_PATIENCE = 2.0  # seconds
+LOOK_AGAIN = 0.05  # seconds, at a configuration that could not be used
 
 
 def load(path: str | None) -> Configuration:
@@ -63,30 +66,75 @@
     return load_operator_file(path, around)
 
 
+class Reload:
+    """What SIGHUP asks for. A file that can't be used may be half written: it is looked at again until it
+    has changed, or until what the new board has to tell would count as told anyway. Another signal begins
+    anew."""
+
+    def __init__(
+        self, path: str | None, take: Callable[[Configuration], None], refused: Callable[[str], None]
+    ) -> None:
+        self._path, self._take, self._refused = path, take, refused
+        self._again: asyncio.TimerHandle | None = None
+
+    def now(self) -> None:
+        self.stop()
+        before = self._written()
+        try:
+            self._take(load(self._path))
+        except UnusableConfiguration as error:  # what was in force stays
+            self._refused(str(error))
+            loop = asyncio.get_running_loop()
+            self._look_again(loop, before, loop.time() + http.TOLD_AFTER / US)
+
+    def stop(self) -> None:
+        if self._again is not None:
+            self._again.cancel()
+            self._again = None
+
+    def _look_again(self, loop: asyncio.AbstractEventLoop, before: bytes, until: float) -> None:
+        if self._written() != before:
+            self.now()
+        elif loop.time() < until:
+            self._again = loop.call_later(LOOK_AGAIN, self._look_again, loop, before, until)
+
+    def _written(self) -> bytes:
+        try:
+            return Path(self._path or os.environ.get("ROUTER_CONFIG", "")).read_bytes()
+        except OSError:
+            return b""
+
+
 async def run_gateway(path: str | None, operator_path: str | None = None) -> None:
     """Until SIGTERM or SIGINT, then a planned stop. SIGHUP reads the configuration and the operator file
     again, SIGUSR1 prints the counters."""
-    configuration = load(path)
-    server = GatewayServer(configuration, load_operator(operator_path, configuration))
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    server: GatewayServer
+    reloading: Reload
+    configuration: Configuration
+
+    def refuse(why: str) -> None:
+        server.supervisor.counters.add("reloads refused")
+        server.supervisor.log.say("reload", why)
 
     def reload() -> None:
-        try:
-            server.reload(load(path))
-        except UnusableConfiguration as error:  # what was in force stays
-            server.supervisor.counters.add("reloads refused")
-            server.supervisor.log.say("reload", str(error))
+        reloading.now()
         if operator_path:
             server.reload_operator(lambda: _read_operator(operator_path, configuration))
 
-    for number in (signal.SIGTERM, signal.SIGINT):  # before anything is taken: no signal finds none of these
+    # before anything is read: a file that changes meanwhile is read again, and no signal finds none of these
+    for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    loop.add_signal_handler(signal.SIGUSR1, server.print_counters)
+    loop.add_signal_handler(signal.SIGUSR1, lambda: server.print_counters())
+    configuration = load(path)
+    server = GatewayServer(configuration, load_operator(operator_path, configuration))
+    reloading = Reload(path, server.reload, refuse)
     await server.start()
     await stop.wait()
     await server.drain()
     await server.stop()
+    reloading.stop()
     server.print_counters()
 
 
--- a/lotusstream/net/engine_list.py
+++ b/lotusstream/net/engine_list.py
@@ -72,22 +72,26 @@
         self._polling = self.supervisor.start(f"{self.name} poll", self._poll(board, self._last))
 
     def _apply(self, told: notices.Notices) -> None:
-        """Events by their numbers. After a gap, or where the numbers have begun anew, all are asked for."""
+        """Events by their numbers, told as one. After a gap, or where the numbers have begun anew, all are
+        asked for."""
         if told.rev < self._last:
             self._last = 0
             return
+        found: list[notices.Notice] = []
         for notice in told.notices:
             if notice.rev <= self._last:
                 continue
             if notice.rev != self._last + 1 and not notice.whole:
                 self.supervisor.counters.add("gaps in the list")
                 self._last = 0
-                return
+                break
             if notice.unreadable:
                 self.supervisor.counters.add("unreadable entries", notice.unreadable)
                 self.supervisor.log.say("list", f"{notice.unreadable} entries that can't be read")
             self._last = notice.rev
-            self._report(notice)
+            found.append(notice)
+        if found:
+            self._report(notices.folded(found))
 
     async def _poll(self, board: Pool, last: int) -> None:
         """One poll, and after one that failed a pause before the next."""
--- a/lotusstream/protocol/notices.py
+++ b/lotusstream/protocol/notices.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Sequence
 from dataclasses import dataclass
 from ipaddress import IPv4Address
 from typing import Any
@@ -38,6 +39,16 @@
     notices: tuple[Notice, ...]
 
 
+def folded(events: Sequence[Notice]) -> Notice:
+    """Events that came together as one with the same end: the last whole list, and the latest word on each
+    engine. Guards engines that a later event of the same answer still lists against being dropped in between,
+    with their connections and with what was learnt of them. `events` are in their order, at least one."""
+    begins = max((at for at, event in enumerate(events) if event.whole), default=0)
+    latest = {listed.engine.id: listed for event in events[begins:] for listed in event.listed}
+    unreadable = sum(event.unreadable for event in events)
+    return Notice(events[-1].rev, events[begins].whole, tuple(latest.values()), unreadable)
+
+
 def parse_endpoint(text: Any) -> tuple[str, int] | None:
     """An IPv4 address and a port: names are not resolved."""
     try:
