Nothing leaves for a client that has gone; no answer is read as another query's; closes lose nothing

Engines: (1) a send that waits for its connection was withdrawn only by the module's Cancel, a round later and not at all where cancelling is not allowed (EngineActor._exchange). Now whether the answer is owed is asked last before the first byte, of the command and of the client's socket. (2) A send decided before an engine's listed restart reached the cold process at the same address; the actor now counts incarnations. (3) What was cancelled or ran out of time before its first byte was told as one that may have run; it surely did not (MOOT). (4) An answer told twice, late, was read as that of the next query on the connection (Pool.get took the last used one): the calls of a query now have a connection of their own, which rests 250 ms, as long as an engine keeps a call, before the next. Clients: (6) Reply was matched by its number alone; a number used again after giveUp got the withdrawn command's answer. (7) Idle connections were shut on both sides at once, and at the end closed over unread bytes; now half-closed, read to the end for a bounded time and number. (8) A socket accepted whose task had not begun was not seen by the planned stop's last look; it is counted at the accept. (9) A half-written message was idle like any other; it gives way last.

--- a/lotusstream/deployment.py
+++ b/lotusstream/deployment.py
@@ -69,6 +69,7 @@
         priorities=bool(specifics.get("ranks_heeded")),
         longest_advice=raw.get("max_retry_after", 0) if raw.get("retry_after") else 0,
         must_subscribe=discovery == "subscribe",
+        connect_timeout=raw.get("connect_timeout", 0),
     )
 
 
--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -100,6 +100,7 @@
     priorities: bool
     longest_advice: int
     must_subscribe: bool
+    connect_timeout: int = 0  # that much later than it was decided a send may begin
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -30,6 +30,11 @@
     statement: bytes
     ends_by: int
     tenant: str | None = None
+    over: bool = False  # answered, or its client waits no longer
+
+    def owed(self) -> bool:
+        """Whether the client still waits: also told where its close has come and is not yet read."""
+        return not self.over and not self.client.has_left()
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +90,17 @@
     """The descriptors that clients may hold. Guards those that ask against those that only hold on: a
     connection without an open command is closed once it has been idle for as long as clients keep one, has
     sent no whole message in time, or stands in the way of a new one; the silent first, then the longest
-    idle. Could harm a client whose message crosses the close: it is to send it again."""
+    idle, and last of all those that have begun to write. Could harm a client whose message crosses the close:
+    it is to send it again.
+
+    It is closed on our side first (half-closed), and whole once the client has closed too: a socket that is
+    closed over bytes that nobody reads is reset, and the reset takes along what the client has not read yet.
+    That many (`most_closing`) may be half-closed at once; beyond them the longest is ended."""
 
-    def __init__(self, most: int, clock: Clock, supervisor: Supervisor) -> None:
+    def __init__(self, most: int, most_closing: int, clock: Clock, supervisor: Supervisor) -> None:
         self._most, self._clock, self._counters = most, clock, supervisor.counters
-        self._count = 0
+        self._count, self._most_closing = 0, most_closing
+        self._closing = dict[ClientConnection, int]()  # half-closed since when, the longest first
         self.stopping = False  # nobody gives way: what crosses a close could not come again
         # since when, the longest first: nothing whole has come yet, and nothing is open
         self._silent, self._idle = dict[ClientConnection, int](), dict[ClientConnection, int]()
@@ -106,7 +117,8 @@
 
     def leave(self, client: ClientConnection) -> None:
         self.works(client)
-        self._count -= 1
+        if self._closing.pop(client, None) is None:
+            self._count -= 1
 
     def works(self, client: ClientConnection) -> None:
         self._silent.pop(client, None)
@@ -118,28 +130,48 @@
 
     def look_after(self) -> None:
         """Now and then: what has been silent or idle for too long."""
-        now = self._clock.now()
-        for waiting, most in ((self._silent, front.WORD_OWED * 2 // 3), (self._idle, front.IDLE_KEPT)):
+        now, in_time = self._clock.now(), front.WORD_OWED * 2 // 3  # for one whole message
+        for waiting, most in ((self._silent, in_time), (self._idle, front.IDLE_KEPT)):
             if self.stopping and waiting is self._idle:
                 break
             for client, since in list(waiting.items()):
                 if now - since < most:
                     break
-                self._close(client)
+                if waiting is self._silent or now - (client.reads_since or 0) >= in_time:
+                    self._close(client)
+        for client, since in list(self._closing.items()):
+            if now - since < front.IDLE_KEPT:
+                break
+            client.end()
 
     def asking(self) -> bool:
         """A command is open, or something has come that is not read yet."""
         resting = [*self._silent, *self._idle]
         return self._count > len(resting) or any(client.has_news() for client in resting)
 
+    def close_all(self) -> None:
+        """The end of a planned stop: whatever rests is half-closed, also over bytes that have just come."""
+        self._most_closing = self._count + len(self._closing)
+        for client in [*self._silent, *self._idle]:
+            self._close(client, at_all_events=True)
+
+    @property
+    def closing(self) -> int:
+        return len(self._closing)
+
     def _close_one(self) -> bool:
-        return not self.stopping and any(self._close(client) for client in [*self._silent, *self._idle])
+        resting = sorted([*self._silent, *self._idle], key=lambda client: client.reads_since is not None)
+        return not self.stopping and any(self._close(client) for client in resting)
 
-    def _close(self, client: ClientConnection) -> bool:
-        if not client.dismiss():
+    def _close(self, client: ClientConnection, at_all_events: bool = False) -> bool:
+        if not client.dismiss(at_all_events):
             return False
         self.works(client)
+        self._count -= 1
+        self._closing[client] = self._clock.now()
         self._counters.add("client connections closed as idle")
+        for longest in [*self._closing][: max(0, len(self._closing) - self._most_closing)]:
+            longest.end()
         return True
 
 
@@ -162,6 +194,7 @@
         self._clock, self._report, self._good, self._unread = clock, report, good, unread
         self._cut_off = self._writing = False
         self.open: dict[int, TakenCommand] = {}
+        self.reads_since: int | None = None  # when a message began that has not come whole
 
     def post(self, message: Reply) -> None:
         if not self._cut_off:
@@ -170,13 +203,16 @@
 
     def cut_off(self) -> None:
         self.supervisor.counters.add("client connections cut off")
-        self._end()
+        self.end()
 
-    def dismiss(self) -> bool:
-        """Closes it where nothing is open or being written, and no byte has come meanwhile."""
-        if self.open or self._writing or len(self.mailbox) or self.has_news():
+    def dismiss(self, at_all_events: bool = False) -> bool:
+        """Half-closes it where nothing is open or being written, and no byte has come meanwhile. What comes
+        from now on is read and dropped until the client closes."""
+        if self.open or self._writing or len(self.mailbox) or (self.has_news() and not at_all_events):
             return False
-        self._end()
+        self._cut_off = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_WR)
         return True
 
     def has_news(self) -> bool:
@@ -185,33 +221,42 @@
         except OSError:
             return False
 
-    def _end(self) -> None:
+    def has_left(self) -> bool:
+        try:
+            return bytes_there(self._sock) is False
+        except OSError:
+            return True
+
+    def end(self) -> None:
         """Nothing more is written, and the reader comes to its end."""
         self._cut_off = True
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
 
     async def serve(self) -> None:
-        """Reads until the client leaves; its open commands leave with it."""
-        if not self._share.enter(self):
-            self._sock.close()
-            return
+        """Reads until the client leaves; its open commands leave with it. It is in the share already."""
         self.start()
         buffer = Buffer(4096, front.FRAME.size + front.LONGEST_FRAME)
         loop = asyncio.get_running_loop()
         try:
             while count := await loop.sock_recv_into(self._sock, buffer.space()):
                 if self._cut_off:  # it crossed the close: not taken, the client sends it again
-                    break
-                at = self._clock.now()
+                    await asyncio.sleep(0)
+                    continue
+                at, whole = self._clock.now(), False
                 buffer.filled(count)
                 while (length := front.frame_length(buffer.data())) is not None:
                     if len(buffer) < front.FRAME.size + length:
                         break
+                    whole = True
                     frame = bytes(buffer.data()[front.FRAME.size : front.FRAME.size + length])
                     buffer.use(front.FRAME.size + length)
                     self._handle(frame, at)
                     self._settle()
+                if not len(buffer):
+                    self.reads_since = None
+                elif whole or self.reads_since is None:
+                    self.reads_since = at
                 await asyncio.sleep(0)  # the turn of the others, however much this one sends
         except (front.BrokenFrame, BufferFull) as error:
             self.supervisor.counters.add("client connections broken")
@@ -220,14 +265,19 @@
             self.supervisor.counters.add("client connections reset")
         finally:
             self._cut_off = True
-            for command in list(self.open.values()):
-                self._report(ClientLeft(command))
+            for command in self.open.values():
+                self._leave(command)
             self.open.clear()
             self._unread.forget(self)
             await self.stop()
             self._sock.close()
             self._share.leave(self)
 
+    def _leave(self, command: TakenCommand) -> None:
+        """Marked here and now, a round before the decider hears of it: no send of it begins in between."""
+        command.over = True
+        self._report(ClientLeft(command))
+
     def _settle(self) -> None:
         """After each whole message and each answer."""
         if self._cut_off:
@@ -238,17 +288,19 @@
             self._share.rests(self)
 
     async def receive(self, message: Reply) -> None:
-        if message.ends is not None and self.open.pop(message.ends.seqid, None) is None:
-            self._unread.taken(self, len(message.frame))
-            return  # given up a moment ago: no answer is owed
+        if (ends := message.ends) is not None:
+            if self.open.get(ends.seqid) is not ends:  # given up a moment ago; its number may be in use again
+                self._unread.taken(self, len(message.frame))
+                return
+            del self.open[ends.seqid]
         self._writing = True
         try:
             await asyncio.get_running_loop().sock_sendall(self._sock, message.frame)
             self._unread.taken(self, len(message.frame))
         except OSError:
-            self._end()
+            self.end()
         except Exception:
-            self._end()
+            self.end()
             raise
         finally:
             self._writing = False
@@ -268,7 +320,7 @@
                 self.post(Reply(front.encode_answer("probe", seqid, b"", self._good())))
             case front.GiveUp(seqid):
                 if command := self.open.pop(seqid, None):
-                    self._report(ClientLeft(command))
+                    self._leave(command)
             case front.Process():
                 self._take(message, at)
 
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -74,7 +74,7 @@
     def __init__(self, sock: socket.socket, budget: SocketBudget, longest_body: int) -> None:
         self._sock, self._budget, self._longest = sock, budget, longest_body
         self._buffer = Buffer(8192, http.LONGEST_HEAD + longest_body)  # an engine's answer in one read
-        self._closed = False
+        self.closed = False
         self.idle_since = 0
 
     @classmethod
@@ -103,7 +103,7 @@
     def still_open(self) -> bool:
         """Nothing has come while it was idle, no close either."""
         try:
-            return bytes_there(self._sock) is None
+            return not self.closed and bytes_there(self._sock) is None
         except OSError:
             return False
 
@@ -128,15 +128,19 @@
         return reader.answer
 
     def close(self) -> None:
-        if not self._closed:
-            self._closed = True
+        if not self.closed:
+            self.closed = True
             self._budget.works(self)
             self._budget.give_back()
             self._sock.close()
 
 
 class Pool:
-    """The connections to one address. Idle ones are closed well before the other side does it."""
+    """The connections to one address. Idle ones are closed well before the other side does it. `rest`: how
+    long one is left alone before another user gets it, in microseconds. Guards against an answer that comes a
+    second time some moments later, after the look at the connection: the next user would read it as its own,
+    and nothing in an engine's first answer tells whose it is. Costs a connection for each call within that
+    time."""
 
     def __init__(
         self,
@@ -146,8 +150,10 @@
         idle_timeout: int,
         longest_body: int,
         clock: Clock,
+        rest: int = 0,
     ) -> None:
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
+        self._rest = rest
         self.host, self._clock = f"{endpoint[0]}:{endpoint[1]}", clock
         self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
         self._idle: dict[Connection, None] = {}
@@ -155,8 +161,10 @@
 
     async def get(self, *, ends_things: bool = False, fresh: bool = False) -> Connection:
         self.trim()
-        while self._idle and not fresh:
-            connection, _ = self._idle.popitem()
+        now = self._clock.now()
+        rested = [] if fresh else [each for each in self._idle if now - each.idle_since >= self._rest]
+        for connection in reversed(rested):  # the last used first: the rest get old and are closed
+            del self._idle[connection]
             self._budget.works(connection)
             if connection.still_open():
                 return connection
@@ -167,16 +175,24 @@
 
     async def call(self, connection: Connection, request: bytes, patience: int) -> http.Answer:
         """One call on a connection that was got from here; afterwards it is idle or closed."""
+        answer = await self.call_and_keep(connection, request, patience)
+        self.put_back(connection)
+        return answer
+
+    async def call_and_keep(self, connection: Connection, request: bytes, patience: int) -> http.Answer:
+        """The same, for a user that has more to ask: the connection is still its own, to be put back, and
+        closed where it can carry no other call."""
         try:
             answer = await connection.call(request, patience)
         except BaseException:
             connection.close()
             raise
-        self._put_back(connection, answer)
+        if not answer.reusable:
+            connection.close()
         return answer
 
-    def _put_back(self, connection: Connection, answer: http.Answer) -> None:
-        if not answer.reusable or self._closed:
+    def put_back(self, connection: Connection) -> None:
+        if connection.closed or self._closed:
             connection.close()
             return
         connection.idle_since = self._clock.now()
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -510,6 +510,7 @@
             statement=taken.statement,
             mark=taken.fields.mark,
             priority=held.priority,
+            owed=taken.owed,
         )
         if self.gate is not None and held.behind:
             self.gate.post(Departs(start, actor, self._entries[action.engine], taken))
@@ -541,7 +542,7 @@
         self._close(held)
 
     def _close(self, held: Held) -> None:
-        held.open = False
+        held.open, held.taken.over = False, True
         if self.gate is not None and held.behind:
             self.gate.post(Closed(held.id, held.ran, frozenset(held.out), held.taken.fields.time_left))
         self._bytes -= len(held.taken.statement)
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -40,6 +40,7 @@
     statement: bytes
     mark: str | None
     priority: int | None
+    owed: Callable[[], bool] = lambda: True  # whether somebody still waits for the answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +84,10 @@
 class Running:
     """A send from its start until the connection that asks after it is free again."""
 
-    def __init__(self, start: StartSend) -> None:
+    def __init__(self, start: StartSend, incarnation: int) -> None:
         self.start = start
+        self.incarnation = incarnation  # of the engine that it was meant for
+        self.connection: Connection | None = None  # its own, between two calls
         self.priority = start.priority
         self.posted = False  # its first byte may have gone out
         self.cancelled = False
@@ -107,14 +110,15 @@
     ) -> None:
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
-        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES, clock)
+        self._incarnation = 0  # counts the engine's restarts, as far as they are listed
+        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES, clock, http.REST)
         self._clock, self._report = clock, report
         self._running: dict[tuple[int, int], Running] = {}
 
     async def receive(self, message: EngineMessage) -> None:
         match message:
             case StartSend():
-                running = self._running[message.command, message.number] = Running(message)
+                running = self._running[message.command, message.number] = Running(message, self._incarnation)
                 running.task = self.supervisor.start(f"{self.name} send", self._run(running))
             case CancelSend(command, number):
                 if found := self._running.get((command, number)):
@@ -126,6 +130,7 @@
                         self.supervisor.start(f"{self.name} priority", self._set_priority(found))
             case ListedAs(ready, restarted):
                 self.ready = ready
+                self._incarnation += restarted
                 if restarted or not ready:
                     self._pool.clear()
 
@@ -154,10 +159,12 @@
             async with asyncio.timeout(max(0, start.ends_at - self._clock.now()) / US):
                 await self._exchange(running)
         except TimeoutError:
-            self._end(running, Outcome.TIMED_OUT)
             if running.posted:
+                self._end(running, Outcome.TIMED_OUT)
                 self.supervisor.start(f"{self.name} delete", self._delete(running))
         finally:
+            if running.connection is not None:
+                self._pool.put_back(running.connection)
             # whatever went wrong: what has gone out may have run, the rest has not
             self._end(running, Outcome.RESET if running.posted else Outcome.MOOT)
             self._running.pop((start.command, start.number), None)
@@ -172,9 +179,9 @@
             return self._end(running, Outcome.MOOT)
         except CannotConnect:
             return self._end(running, Outcome.CONNECT_FAILED)
-        if not self.ready or running.cancelled:  # since it was started: nothing new goes out
+        if running.cancelled or not self._may_leave(running):  # since it was started: nothing new goes out
             connection.close()
-            return self._end(running, Outcome.CANCELLED if running.cancelled else Outcome.MOOT)
+            return self._end(running, Outcome.MOOT)
         try:
             left = start.ends_at - self._clock.now()
             headers = http.start_headers(start.call, start.profile, left, start.mark, running.priority)
@@ -185,31 +192,38 @@
         running.posted = True
         self.supervisor.counters.add("sends posted")
         news_call = http.request("GET", f"/x/{start.call}/0", self._pool.host, {})
+        running.connection = connection
         while True:
-            news = await self._ask(running, connection, request, news_call, http.query_news)
+            news = await self._ask(running, request, news_call, http.query_news)
             if isinstance(news, Outcome):
                 return self._end(running, news)
             if running.ended or news.outcome is not None:
                 break
             if news.note is not None:
                 self._report(api.Noted(start.command, start.number, self.engine, news.note, news.amount))
-            connection, request = None, news_call
+            request = news_call
         if news.outcome is Outcome.ANSWERED and not running.ended:
             return await self._collect(running, news)
         return self._end(running, news.outcome or Outcome.ERROR)
 
+    def _may_leave(self, running: Running) -> bool:
+        """Looked at last before the first byte, since a connection may have been long in coming up. Guards an
+        engine that drains, or that has restarted cold under the same address, and clients that have gone:
+        also where the module may not cancel, for what never left is nothing to cancel."""
+        return self.ready and running.incarnation == self._incarnation and running.start.owed()
+
     async def _ask(
         self,
         running: Running,
-        connection: Connection | None,
         request: bytes,
         again: bytes,
         read: Callable[[http.Answer], T | None],
     ) -> T | Outcome:
-        """What `read` makes of the answer. Asked for again on a new connection where one breaks, is silent or
-        spoilt, at once and then with pauses. An outcome where none will come: the engine says so, its process
-        has ended and what it ran with it, or nothing but broken calls in the time after which it forgets a
-        query. Silence is left to the module."""
+        """What `read` makes of the answer. All calls for a query go over a connection of its own while that
+        holds: what comes there belongs to this query, and pages tell their number. Asked for again on a new
+        connection where one breaks, is silent or spoilt, at once and then with pauses. An outcome where none
+        will come: the engine says so, its process has ended and what it ran with it, or nothing but broken
+        calls in the time after which it forgets a query. Silence is left to the module."""
         tries, began, usable = 0, 0, self._clock.now()
         while not running.ended:
             pause = began + self._pool.connect_timeout - self._clock.now()
@@ -217,15 +231,20 @@
                 await asyncio.sleep(pause / US)
             began = self._clock.now()
             try:
+                connection, running.connection = running.connection, None
+                if connection is not None and request is again and not connection.still_open():
+                    connection.close()
+                    connection = None
                 connection = connection or await self._pool.get(fresh=tries > 0)
-                answer = await self._pool.call(connection, request, http.PATIENCE)
-                running.heard = True
+                answer = await self._pool.call_and_keep(connection, request, http.PATIENCE)
+                running.connection, running.heard = connection, True
                 if (found := read(answer)) is not None:
                     return found
                 if answer.status == http.ERROR:  # after a break: it knows of no such query
                     return Outcome.RESET if tries else Outcome.ERROR
                 self.supervisor.counters.add("answers spoilt")
                 self._say("answer spoilt", f"status {answer.status}", running)
+                connection.close()
             except CannotConnect as error:
                 running.heard = False
                 if isinstance(error, Refused):
@@ -240,7 +259,7 @@
             if self._clock.now() - usable >= http.FORGOTTEN_AFTER and not running.ended:
                 self.supervisor.start(f"{self.name} delete", self._delete(running))
                 return Outcome.RESET
-            tries, connection, request = tries + 1, None, again
+            tries, request = tries + 1, again
         return Outcome.RESET
 
     async def _collect(self, running: Running, news: http.QueryNews) -> None:
@@ -249,7 +268,7 @@
         for number in range(1, news.pages):
             request = http.request("GET", f"/x/{running.start.call}/{number}", self._pool.host, {})
             read = partial(http.page_rows, number=number)
-            page = await self._ask(running, None, request, request, read)
+            page = await self._ask(running, request, request, read)
             if isinstance(page, Outcome):
                 self.supervisor.counters.add("pages lost")
                 self._say("page lost", f"{number} of {news.pages}, {page.name}", running)
@@ -269,7 +288,7 @@
         if running.ended:
             return
         running.ended = True
-        if running.cancelled and outcome is not Outcome.ANSWERED:
+        if running.cancelled and running.posted and outcome is not Outcome.ANSWERED:
             outcome = Outcome.CANCELLED
         start, work, memory = running.start, news.work if news else None, news.memory_mb if news else None
         name, latency = (start.command, start.number, self.engine), self._clock.now() - start.at
@@ -285,7 +304,7 @@
             self.supervisor.start(f"{self.name} delete", self._delete(running))
         elif running.task is not None:  # told here: a task that has not begun comes to no `finally`
             running.task.cancel()
-            self._end(running, Outcome.CANCELLED)
+            self._end(running, Outcome.MOOT)
             self._running.pop((running.start.command, running.start.number), None)
 
     async def _delete(self, running: Running) -> None:
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -20,7 +20,7 @@
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider
 from lotusstream.net.engine_list import EngineList, Follow
-from lotusstream.protocol import notices
+from lotusstream.protocol import front, notices
 
 if TYPE_CHECKING:
     from lotusstream.net.parts import Parts
@@ -87,7 +87,7 @@
         self._parts = self._parts_of(operator)
         taken = self._parts.descriptors if self._parts else 0
         self._budget = SocketBudget(most - most_clients - self._spare - OWN - taken)
-        self._share = ClientShare(most_clients, self._clock, self.supervisor)
+        self._share = ClientShare(most_clients, max(1, self._spare - 1), self._clock, self.supervisor)
         self._unread = Unread(memory // 8)
         beside = self._parts.beside if self._parts else None
         self._decider = Decider(deployment, self._budget, memory // 8, self._clock, self.supervisor, beside)
@@ -183,9 +183,10 @@
                 loop.call_later(PAUSE, self._resume_accept, listener)
                 return
             sock.setblocking(False)
-            self.supervisor.start("client", self._serve(sock))
+            self._take_in(sock)
 
-    async def _serve(self, sock: socket.socket) -> None:
+    def _take_in(self, sock: socket.socket) -> None:
+        """Counted before its task begins: a planned stop that looks in between sees it."""
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = ClientConnection(
@@ -199,7 +200,10 @@
             self.supervisor,
             self._tenants,
         )
-        await client.serve()
+        if self._share.enter(client):
+            self.supervisor.start("client", client.serve())
+        else:
+            sock.close()
 
     async def _watch(self) -> None:
         """The loop's longest stall, and what is overdue or idle."""
@@ -242,6 +246,10 @@
         if self._listener is not None:
             asyncio.get_running_loop().remove_reader(self._listener)
             self._listener.close()
+        self._share.close_all()
+        by = self._clock.now() + front.CLOSE_CROSSED
+        while self._share.closing and self._clock.now() < by:  # until the clients have read all and closed
+            await asyncio.sleep(PAUSE)
         if self._parts is not None:
             await self._parts.stop()
         await self.supervisor.stop()
--- a/lotusstream/protocol/front.py
+++ b/lotusstream/protocol/front.py
@@ -21,6 +21,7 @@
 MOST_OPEN = 32  # on one connection
 MS = 1000
 IDLE_KEPT = 4000 * MS  # clients close what has been idle for that long
+CLOSE_CROSSED = 50 * MS  # a command that comes within that time after a close is sent again elsewhere
 WORD_OWED = 3000 * MS  # from the connect, to whoever has sent nothing that can be used
 
 _CALL = re.compile(r"[0-9a-f]{16}\Z")
--- a/lotusstream/protocol/http.py
+++ b/lotusstream/protocol/http.py
@@ -15,6 +15,7 @@
 MS = 1000
 NEWS_WAIT = 250 * MS  # how long an engine keeps a call that asks for news
 FORGOTTEN_AFTER = 2000 * MS  # a query that has not been asked for
+REST = NEWS_WAIT  # between two queries on one connection: an answer told twice has come by then
 PATIENCE = FORGOTTEN_AFTER // 4  # with a call, so that others can still come in time
 ERROR = 500  # to any call: it may have run, or is known there no longer
 BOARD_WAIT = 5000 * MS  # the longest that the board keeps a call
