--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,7 @@
 
 import pytest
 from hypothesis import settings as hypothesis_settings
+from known_red import pytest_collection_modifyitems, pytest_terminal_summary
 
 from lotusstream import interface as api
 from lotusstream.lab.parties import (
@@ -30,7 +31,8 @@
 )
 from lotusstream.policy import Gateway
 
-__all__ = ["CALLS", "LIMIT", "Call", "Failed", "HttpStandIn", "StandInClient", "http_answer"]
+__all__ = ["CALLS", "LIMIT", "Call", "Failed", "HttpStandIn", "StandInClient", "http_answer",
+           "pytest_collection_modifyitems", "pytest_terminal_summary"]  # fmt: skip
 
 hypothesis_settings.register_profile("same", derandomize=True, deadline=None, database=None)
 hypothesis_settings.load_profile("same")  # the same verdict always
