Connections to engines rest 50 ms, the protocol's slack, not 250 ms

Checked: no other change of the same commit opens connections; a query keeps its connection over its polls as before. At fault: Pool.get passing over what has rested under 250 ms.

--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -111,7 +111,8 @@
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
         self._incarnation = 0  # counts the engine's restarts, as far as they are listed
-        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES, clock, http.REST)
+        times = connect_timeout, idle_timeout
+        self._pool = Pool(endpoint, budget, *times, http.PAGE_BYTES, clock, rest=http.CROSSING)
         self._clock, self._report = clock, report
         self._running: dict[tuple[int, int], Running] = {}
 
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -102,7 +102,7 @@
         ended = await told.until(lambda fact, number=number: fact.number == number)
         assert ended.rows == f"{number:016x}\t\t\n".encode()
     assert engine_side.connections == 2  # the first had rested too little to carry another
-    clock.at += http.REST
+    clock.at += http.CROSSING
     actor.post(start_send(2, clock))
     await told.until(lambda fact: fact.number == 2)
     assert engine_side.connections == 2
