--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -164,7 +164,7 @@
         return not self.stopping and any(self._close(client) for client in resting)
 
     def _close(self, client: ClientConnection, at_all_events: bool = False) -> bool:
-        if not client.dismiss(at_all_events):
+        if not client.half_close(at_all_events):
             return False
         self.works(client)
         self._count -= 1
@@ -205,7 +205,7 @@
         self.supervisor.counters.add("client connections cut off")
         self.end()
 
-    def dismiss(self, at_all_events: bool = False) -> bool:
+    def half_close(self, at_all_events: bool = False) -> bool:
         """Half-closes it where nothing is open or being written, and no byte has come meanwhile. What comes
         from now on is read and dropped until the client closes."""
         if self.open or self._writing or len(self.mailbox) or (self.has_news() and not at_all_events):
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -272,7 +272,7 @@
     client.post(Reply(front.encode_answer("process", 1, b"first\t\t\n", True), first))
     client.post(Reply(front.encode_answer("process", 1, b"second\t\t\n", True), second))
     await until(lambda: not client.open and not client._writing)
-    assert client.dismiss()
+    assert client.half_close()
     assert b"second" in (came := read_all(theirs)) and b"first" not in came
 
 
@@ -283,7 +283,7 @@
     command = await desk.taken(1)
     client.post(Reply(front.encode_answer("process", 1, b"1\t2\t3\n", True), command))
     await until(lambda: not client.open and not client._writing)
-    assert client.dismiss()
+    assert client.half_close()
     stand_in.ask()  # before the client has seen the close, or read its answer
     await until(lambda: serving.done() or not client.has_news())
     assert b"1\t2\t3\n" in read_all(theirs)  # the last answer, and then the end
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -172,7 +172,7 @@
     stand_in.raw = lambda frame: theirs.sendall(front.FRAME.pack(len(frame)) + frame)  # type: ignore[method-assign]
     stand_in.ask()
     monkeypatch.setattr(client, "has_news", lambda: False)  # it came a moment after the look
-    assert client.dismiss()
+    assert client.half_close()
     theirs.shutdown(socket.SHUT_WR)  # until then what comes is read and dropped
     await asyncio.wait_for(serving, LIMIT)
     assert not reports.items
