--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -300,10 +300,8 @@
             be.full_at = self.now
         elif not a_try.doomed and event.outcome not in (Outcome.MOOT, Outcome.ERROR if cmd.erred else None):
             be.lost = be.lost or not event.heard  # what answers has not ended, nor has what it runs
-            # a refused connection (one that comes up late fails at its time-out) where nothing else was heard
-            # lately tells as much as several late answers
-            refused = (event.outcome is Outcome.CONNECT_FAILED and self.now - be.heard > self.shortest
-                       and event.latency < self.allowed.connect_timeout)  # fmt: skip
+            # a refused connection where nothing else was heard lately tells as much as several late answers
+            refused = event.outcome is Outcome.CONNECT_FAILED and self.now - be.heard > self.shortest
             be.failures += FAILURES if refused else 1
             if be.failures >= FAILURES:
                 self._set_aside(be)
@@ -634,10 +632,7 @@
         """Overdue sends in a row and not a word: no pause, no slowness, no one bad plan."""
         overdue = sum(self.now - t.at > PATIENCE * t.expected and not t.stalled for _, t in be.out.values())
         needed = 1 if self.given.note_every else FAILURES
-        since = max(
-            be.heard, next(iter(be.out.values()))[1].at
-        )  # while nothing is out nothing is to be heard
-        return overdue >= needed and self.now - since > max(self.shortest, 2 * self.given.note_every)
+        return overdue >= needed and self.now - be.heard > max(self.shortest, 2 * self.given.note_every)
 
     def _reconsider(self, cmd: Command) -> None:
         """Guards against silent engines, bad plans and engines far slower than the rest."""
--- a/lotusstream/state.py
+++ b/lotusstream/state.py
@@ -113,6 +113,7 @@
         """A send goes out. `keep`: how many groups stay warm there."""
         threads = cmd.profile.threads
         cmd.tries.append(a_try)
+        self.heard = self.heard if self.out else a_try.at
         self.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
         self.threads += threads
         self.pool.room, self.pool.out = self.pool.room - threads, self.pool.out + threads
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -51,7 +51,7 @@
 class Host:
     def __init__(self, **changes: object) -> None:
         duties = api.Duties(20 * MS, 0.3, 15 * S, 3.0, S, 300 * MS, math.inf, 0.0, 0, 10 * S)
-        allowed = api.Allowed(4, True, True, False, False, True, 500 * MS, False, connect_timeout=250 * MS)
+        allowed = api.Allowed(4, True, True, False, False, True, 500 * MS, False)
         start = api.Started(7, 1, 5 * MS, PROFILES, (api.Kind(8.0, 0.0), api.Kind(8.0, 0.0)), 1.0, 0,
                             False, allowed, duties)  # fmt: skip
         named = {key: value for key, value in changes.items() if hasattr(duties, key)}
