What is drawn for a cold engine holds for three quarters of its window

In a moment that is everyone's the sum is now 1.05 of the budget on average, and the stories of thirty gateways still hold.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -26,6 +26,7 @@
 FAILURES, HIGHEST, NEVER = 3, 3, 2**62  # in a row, that set an engine aside; top priority; no stop
 CREDIT_START, CREDIT_MOST, CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
 COLD_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
+DRAWN_FOR = 0.75  # of a window: a moment that is everyone's then keeps to 0.6 * 1.75 of the budget
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
 LONGEST_WORD = 20  # shortest targets for which another's word may keep an engine aside
@@ -406,16 +407,16 @@
         moment, or have just restarted and don't know what they sent. Where this one's part in a window is
         less than the command, it draws for each window whether it may send one; windows begin at another
         time for each gateway, and the sum keeps to the budget on average. Nothing is saved up, and what was
-        drawn holds for half of the window: a moment that is everyone's takes of one and a half at most."""
+        drawn holds for a part of the window: a moment that is everyone's takes of that much more at most."""
         span = self.duties.overload_for
         part = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even * span
         be.pushed = be.pushed or Ring(span, BUCKETS)
-        room = part - be.pushed.total(self.now)[0]
         if weight <= part:
-            return weight <= room
+            return weight <= part - be.pushed.total(self.now)[0]
         turn, passed = divmod(self.now + int(be.phase * span), span)
         lot = drawn(be.entry.id, zlib.crc32(turn.to_bytes(8, "little"), self.seed))
-        return 2 * passed < span and lot * weight <= room
+        room = part - be.pushed.total(self.now, covering=False)[0]
+        return passed < DRAWN_FOR * span and lot * weight <= room
 
     def _fits(self, threads: int, be: Backend) -> bool:
         """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
