Connections rest 20 ms again; disbelieving what comes too soon broke a rule

Its log: 'answer too soon: engine s-: status 500', dozens of times. A bad client sends the id of another gateway's open request; the engine refuses it at once, the refusal was not believed, and GET /x/ID/0 told the end of the other's query. At fault: EngineActor._ask not believing what is true. Still open, as before all this: after a call that breaks the query is asked for by its id, and a bad client's id may be another's.

--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -75,7 +75,7 @@
         self._sock, self._budget, self._longest = sock, budget, longest_body
         self._buffer = Buffer(8192, http.LONGEST_HEAD + longest_body)  # an engine's answer in one read
         self.closed = False
-        self.idle_since = self.echo_until = 0  # what comes before may be its last user's answer, told twice
+        self.idle_since = 0
 
     @classmethod
     async def open(
@@ -136,7 +136,11 @@
 
 
 class Pool:
-    """The connections to one address. Idle ones are closed well before the other side does it."""
+    """The connections to one address. Idle ones are closed well before the other side does it. `rest`: how
+    long one is left alone before another user gets it, in microseconds. Guards against an answer that comes a
+    second time some moments later, after the look at the connection: the next user would read it as its own,
+    and nothing in an engine's first answer tells whose it is. Costs a connection for each call within that
+    time."""
 
     def __init__(
         self,
@@ -146,8 +150,10 @@
         idle_timeout: int,
         longest_body: int,
         clock: Clock,
+        rest: int = 0,
     ) -> None:
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
+        self._rest = rest
         self.host, self._clock = f"{endpoint[0]}:{endpoint[1]}", clock
         self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
         self._idle: dict[Connection, None] = {}
@@ -155,8 +161,10 @@
 
     async def get(self, *, ends_things: bool = False, fresh: bool = False) -> Connection:
         self.trim()
-        while self._idle and not fresh:  # the last used first: the others get old and are closed
-            connection, _ = self._idle.popitem()
+        now = self._clock.now()
+        rested = [] if fresh else [each for each in self._idle if now - each.idle_since >= self._rest]
+        for connection in reversed(rested):  # the last used first: the rest get old and are closed
+            del self._idle[connection]
             self._budget.works(connection)
             if connection.still_open():
                 return connection
@@ -188,7 +196,6 @@
             connection.close()
             return
         connection.idle_since = self._clock.now()
-        connection.echo_until = connection.idle_since + http.CROSSING
         self._idle[connection] = None
         self._budget.rests(connection, self)
 
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -111,7 +111,8 @@
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
         self._incarnation = 0  # counts the engine's restarts, as far as they are listed
-        self._pool = Pool(endpoint, budget, connect_timeout, idle_timeout, http.PAGE_BYTES, clock)
+        times = connect_timeout, idle_timeout
+        self._pool = Pool(endpoint, budget, *times, http.PAGE_BYTES, clock, rest=http.ECHO)
         self._clock, self._report = clock, report
         self._running: dict[tuple[int, int], Running] = {}
 
@@ -220,12 +221,10 @@
         read: Callable[[http.Answer], T | None],
     ) -> T | Outcome:
         """What `read` makes of the answer. All calls for a query go over a connection of its own while that
-        holds: what comes there belongs to this query, and pages tell their number. An engine's first answer
-        names no query, though, and may come twice, the second time some moments later: what comes that soon
-        after the connection's last user had its own is not believed, whatever it says. Asked for again on a
-        new connection where one breaks, is silent or spoilt, at once and then with pauses. An outcome where
-        none will come: the engine says so, its process has ended and what it ran with it, or nothing but
-        broken calls in the time after which it forgets a query. Silence is left to the module."""
+        holds: what comes there belongs to this query, and pages tell their number. Asked for again on a new
+        connection where one breaks, is silent or spoilt, at once and then with pauses. An outcome where none
+        will come: the engine says so, its process has ended and what it ran with it, or nothing but broken
+        calls in the time after which it forgets a query. Silence is left to the module."""
         tries, began, usable = 0, 0, self._clock.now()
         while not running.ended:
             pause = began + self._pool.connect_timeout - self._clock.now()
@@ -240,14 +239,12 @@
                 connection = connection or await self._pool.get(fresh=tries > 0)
                 answer = await self._pool.call_and_keep(connection, request, http.PATIENCE)
                 running.connection, running.heard = connection, True
-                own = self._clock.now() >= connection.echo_until
-                connection.echo_until = 0
-                if own and (found := read(answer)) is not None:
+                if (found := read(answer)) is not None:
                     return found
-                if own and answer.status == http.ERROR:  # after a break: it knows of no such query
+                if answer.status == http.ERROR:  # after a break: it knows of no such query
                     return Outcome.RESET if tries else Outcome.ERROR
-                self.supervisor.counters.add("answers spoilt" if own else "answers too soon")
-                self._say("answer spoilt" if own else "answer too soon", f"status {answer.status}", running)
+                self.supervisor.counters.add("answers spoilt")
+                self._say("answer spoilt", f"status {answer.status}", running)
                 connection.close()
             except CannotConnect as error:
                 running.heard = False
