The cold budget climbs with the engine's age, slower than evenly

Checked: refused connections are gone (0 and 17 sends), and how long a draw holds changes little. The settings say where the climb begins and when it is over at the latest; between them the square of the age is taken, which stays below an even climb.

--- a/lotusstream/policy.py
+++ b/lotusstream/policy.py
@@ -408,8 +408,10 @@
         less than the command, it draws for each window whether it may send one; windows begin at another
         time for each gateway, and the sum keeps to the budget on average. Nothing is saved up, and what was
         drawn holds for a part of the window: a moment that is everyone's takes of that much more at most."""
-        span = self.duties.overload_for
-        part = self.duties.fall_multiple * self.duties.cold_from * be.cores * COLD_MARGIN * self.even * span
+        duties, span = self.duties, self.duties.overload_for
+        age = min(1.0, max(0, self.now - (be.cold_at or 0)) / max(1, duties.warm_up))
+        climbed = duties.cold_from + (1 - duties.cold_from) * age * age  # not told; slower than evenly
+        part = duties.fall_multiple * climbed * be.cores * COLD_MARGIN * self.even * span
         be.pushed = be.pushed or Ring(span, BUCKETS)
         if weight <= part:
             return weight <= part - be.pushed.total(self.now)[0]
