Where no two sends may be out, a query is over only once its engine has been told

At fault in net/engine.py: _ask took a refused connection as the end of the engine's process and told RESET, but an engine with too many connections refuses too and runs the query on; it told RESET before the DELETE of a query that nothing had been heard of in 2 s; and _delete told CANCELLED also where the DELETE could not be delivered. Ruled out: the module, which sends again only once nothing is out as far as it was told. Now, where copies are not allowed, the end is told once a DELETE was answered, the query was not asked for in 2.25 s (the engine forgets it after 2 s; a call may be held 0.25 s), or the engine is listed as restarted. Elsewhere nothing changes. Four stories on real connections; each fails with the ends told as before.

--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -371,6 +371,7 @@
                 self._clock,
                 self.post,
                 self.supervisor,
+                self._started.allowed.copies,
             )
             actor.start()
         if actor is not None:
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -107,13 +107,15 @@
         clock: Clock,
         report: Report,
         supervisor: Supervisor,
+        copies: bool = True,
     ) -> None:
+        """`copies`: two sends of a command may be out at once."""
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
         self._incarnation = 0  # counts the engine's restarts, as far as they are listed
         times = connect_timeout, idle_timeout
         self._pool = Pool(endpoint, budget, *times, http.PAGE_BYTES, clock, rest=http.ECHO)
-        self._clock, self._report = clock, report
+        self._clock, self._report, self._copies = clock, report, copies
         self._running: dict[tuple[int, int], Running] = {}
 
     async def receive(self, message: EngineMessage) -> None:
@@ -227,6 +229,8 @@
         calls in the time after which it forgets a query. Silence is left to the module."""
         tries, began, usable = 0, 0, self._clock.now()
         while not running.ended:
+            if running.cancelled and not self._copies:
+                return await self._lost(running)
             pause = began + self._pool.connect_timeout - self._clock.now()
             if tries > 1 and pause > 0:
                 await asyncio.sleep(pause / US)
@@ -249,7 +253,7 @@
             except CannotConnect as error:
                 running.heard = False
                 if isinstance(error, Refused):
-                    return Outcome.RESET
+                    return await self._lost(running)
                 self.supervisor.counters.add("calls not connected")
             except CallBroken as error:
                 running.heard = False
@@ -258,11 +262,25 @@
                 if isinstance(error, CallSilent):
                     usable = self._clock.now()
             if self._clock.now() - usable >= http.FORGOTTEN_AFTER and not running.ended:
-                self.supervisor.start(f"{self.name} delete", self._delete(running))
-                return Outcome.RESET
+                if self._copies:
+                    self.supervisor.start(f"{self.name} delete", self._delete(running))
+                return await self._lost(running)
             tries, request = tries + 1, again
         return Outcome.RESET
 
+    async def _lost(self, running: Running) -> Outcome:
+        """No end of the query will be heard. Where two sends of a command may not be out at once it is given
+        up first: an engine that refuses a connection may live, and only have too many, and a query is out
+        until its engine has been told, has not been asked for it for long enough, or has restarted. Costs up
+        to that time before the command is sent again."""
+        forgotten = self._clock.now() + http.NEWS_WAIT + http.FORGOTTEN_AFTER
+        pause = self._pool.connect_timeout
+        while not self._copies and running.incarnation == self._incarnation and not running.ended:
+            if (left := forgotten - self._clock.now()) <= 0 or await self._tell(self._farewell(running)):
+                break
+            await asyncio.sleep(min(left, pause) / US)
+        return Outcome.RESET
+
     async def _collect(self, running: Running, news: http.QueryNews) -> None:
         """Answered means all pages: a page that is lost is an error of the send, which has run."""
         rows = bytearray(news.rows)
@@ -308,21 +326,29 @@
             self._end(running, Outcome.MOOT)
             self._running.pop((running.start.command, running.start.number), None)
 
+    def _farewell(self, running: Running) -> bytes:
+        return http.request("DELETE", f"/x/{running.start.call}", self._pool.host, {})
+
     async def _delete(self, running: Running) -> None:
+        told = False
         try:
-            await self._tell(http.request("DELETE", f"/x/{running.start.call}", self._pool.host, {}))
+            told = await self._tell(self._farewell(running))
         finally:
-            self._end(running, Outcome.CANCELLED)
+            if told or self._copies:  # otherwise the one that asks after it goes on until it is
+                self._end(running, Outcome.CANCELLED)
 
     async def _set_priority(self, running: Running) -> None:
         body = str(running.priority).encode()
         await self._tell(http.request("PUT", f"/x/{running.start.call}", self._pool.host, {}, body))
 
-    async def _tell(self, request: bytes) -> None:
+    async def _tell(self, request: bytes) -> bool:
+        """Whether the engine has answered."""
         try:
-            connection = await self._pool.get(ends_things=True)
+            connection = await self._pool.get(ends_things=True, fresh=not self._copies)
             await self._pool.call(connection, request, http.PATIENCE)
+            return True
         except CannotConnect:
             self.supervisor.counters.add("calls not connected")
         except CallBroken:
             self.supervisor.counters.add("calls broken")
+        return False
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -171,6 +171,56 @@
     assert ended.outcome in api.PROVES_NOT_RUN and not waiting.stand_in.calls.items
 
 
+@pytest.fixture
+async def single() -> AsyncIterator[Any]:
+    """A send where no two may be out at once; its connection breaks, and others are refused."""
+    stand_in, told, supervisor, clock = StandInEngine("s-1"), Line(), Supervisor(), StillClock()
+    await stand_in.start()
+    stand_in.acts, budget = "is silent", SocketBudget(8)
+    endpoint = ("127.0.0.1", stand_in.port)
+    actor = EngineActor(b"s-1", endpoint, budget, 1 * MS, 30 * S, clock, told.add, supervisor, copies=False)
+    actor.start()
+    actor.post(start_send(0, clock))
+    await stand_in.calls.until(lambda call: call.method == "POST")
+    stand_in.die()
+    await until(lambda: supervisor.counters["calls not connected"] > 2)
+    yield SimpleNamespace(actor=actor, stand_in=stand_in, told=told, clock=clock)
+    await supervisor.stop()
+    stand_in.die()
+
+
+async def test_where_no_two_sends_may_be_out_a_refused_connection_is_no_end_until_the_engine_is_told(
+    single: Any,
+) -> None:
+    assert not single.told.items
+    await single.stand_in.start(single.stand_in.port)  # it had lived, and had too many connections
+    ended = await single.told.until(lambda fact: True)
+    assert ended.outcome is api.Outcome.RESET
+    assert [call.method for call in single.stand_in.calls.items] == ["POST", "DELETE"]
+
+
+async def test_where_no_two_sends_may_be_out_a_query_not_asked_for_is_over_in_time(single: Any) -> None:
+    single.clock.at += http.FORGOTTEN_AFTER
+    assert not single.told.items
+    single.clock.at += http.NEWS_WAIT
+    assert (await single.told.until(lambda fact: True)).outcome is api.Outcome.RESET
+
+
+async def test_where_no_two_sends_may_be_out_a_restart_is_the_end_of_what_ran(single: Any) -> None:
+    single.actor.post(ListedAs(ready=True, restarted=True))
+    assert (await single.told.until(lambda fact: True)).outcome is api.Outcome.RESET
+
+
+async def test_where_no_two_sends_may_be_out_a_cancel_that_does_not_arrive_is_no_end(single: Any) -> None:
+    single.actor.post(CancelSend(1, 0))
+    await heard(single.actor)
+    assert not single.told.items
+    await single.stand_in.start(single.stand_in.port)
+    ended = await single.told.until(lambda fact: True)
+    assert ended.outcome is api.Outcome.CANCELLED
+    assert "DELETE" in [call.method for call in single.stand_in.calls.items]
+
+
 def test_a_repeat_that_connects_late_still_comes_before_the_engines_forget() -> None:
     allowed = api.Allowed(4, True, True, False, False, True, 500 * MS, False, connect_timeout=250 * MS)
     for left, again in ((200 * MS, False), (400 * MS, True)):  # until the engines forget: 5 s after the first
