--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -36,6 +36,7 @@
 from lotusstream.net.client import ClientConnection, ClientLeft, ClientShare, Reply, TakenCommand, Unread
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import Connection, Pool, SocketBudget
+from lotusstream.net.decider import Decider
 from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, StartSend
 from lotusstream.net.engine_list import EngineList
 from lotusstream.net.gateway import Configuration, GatewayServer, read_configuration
@@ -221,6 +222,18 @@
     assert "DELETE" in [call.method for call in single.stand_in.calls.items]
 
 
+@pytest.mark.parametrize("allowed", [False, True])
+async def test_the_settings_say_whether_two_sends_may_be_out(allowed: bool) -> None:
+    told, supervisor = settings(), Supervisor()
+    told["limits"] = told["limits"] | {"second_copies": allowed}  # type: ignore[operator]
+    decider = Decider(read_settings(7, told), SocketBudget(8), 1 << 20, Clock(), supervisor)
+    decider.start()
+    decider.post(notices.Notice(1, True, (notices.Listed(engine(1), ("127.0.0.1", 9)),), 0))
+    await until(lambda: decider.listed)
+    assert [each._copies for each in decider._engines.values()] == [allowed]
+    await supervisor.stop()
+
+
 def test_a_repeat_that_connects_late_still_comes_before_the_engines_forget() -> None:
     allowed = api.Allowed(4, True, True, False, False, True, 500 * MS, False, connect_timeout=250 * MS)
     for left, again in ((200 * MS, False), (400 * MS, True)):  # until the engines forget: 5 s after the first
