--- /dev/null
+++ b/lotusstream/lab/scale/__init__.py
@@ -0,0 +1,1 @@
+"""One real gateway process among thousands of stand-in servers, and the rules checked from outside."""
