--- /dev/null
+++ b/lotusstream/policy/__init__.py
@@ -0,0 +1,5 @@
+"""All of lotusstream's decisions: `Gateway` takes events and returns actions (lotusstream/interface.py)."""
+
+from lotusstream.policy.gateway import Gateway
+
+__all__ = ["Gateway"]
--- a/lotusstream/policy.py
+++ b/lotusstream/policy/gateway.py
@@ -16,8 +16,8 @@
 from lotusstream import interface as api
 from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, State
 from lotusstream.lots import drawn
+from lotusstream.policy.state import Backend, Command, Pool, Try
 from lotusstream.ring import Ring
-from lotusstream.state import Backend, Command, Pool, Try
 
 SAMPLE, BUCKETS, ENOUGH = 5, 16, 16  # k of SMF; a ring's whole buckets; answers that tell a pace
 OPEN_WIDTH, LEAST_WIDTH = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
