--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -177,6 +177,7 @@
     key: int | None
     cell: int | None = None  # may go nowhere else; None: anywhere
     tenant: str | None = None  # for those in front of the module
+    waited: int = 0  # for this decision, since it may have been sent
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/actor.py
+++ b/lotusstream/net/actor.py
@@ -31,6 +31,13 @@
     async def wait(self) -> None:
         await self._filled.wait()
 
+    def wake(self) -> None:
+        """Whoever waits is to look, though no message may have come."""
+        self._filled.set()
+
+    def rest(self) -> None:
+        self._filled.clear()
+
     def take(self) -> Message | None:
         if self._messages:
             return self._messages.popleft()
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -29,6 +29,7 @@
     group: int
     statement: bytes
     ends_by: int
+    sent_at: int  # as early as it may have been: it can have waited unread for a turn of the loop
     tenant: str | None = None
     over: bool = False  # answered, or its client waits no longer
 
@@ -342,7 +343,8 @@
             self.post(Reply(front.encode_fault("process", message.seqid, kind, str(error))))
             return
         tenant = self._tenant_of(message.fields, fields.mark, statement) if self._tenant_of else None
-        ends_by = at + fields.time_left
-        command = TakenCommand(self, message.seqid, fields, group, message.body, ends_by, tenant)
+        sent_at = at - self._clock.lag
+        ends_by = sent_at + fields.time_left
+        command = TakenCommand(self, message.seqid, fields, group, message.body, ends_by, sent_at, tenant)
         self.open[message.seqid] = command
         self._report(command)
--- a/lotusstream/net/clock.py
+++ b/lotusstream/net/clock.py
@@ -6,8 +6,11 @@
 
 
 class Clock:
+    """`lag`: how long what is read now may have waited for it, since the loop was busy; microseconds."""
+
     def __init__(self) -> None:
         self._ahead = time.time_ns() - time.monotonic_ns()
+        self.lag = 0
 
     def now(self) -> int:
         return (time.monotonic_ns() + self._ahead) // 1000
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -53,6 +53,14 @@
     def give_back(self) -> None:
         self.used -= 1
 
+    def trim(self, now: int) -> None:
+        """Closes what has been idle for as long as its pool keeps one: the longest idle stand first."""
+        while self._idle:
+            connection, pool = next(iter(self._idle.items()))
+            if now - connection.idle_since < pool.keep:
+                return
+            pool.drop(connection)
+
     def rests(self, connection: Connection, pool: Pool) -> None:
         self._idle[connection] = pool
 
@@ -155,7 +163,7 @@
         self._endpoint, self._budget, self._longest = endpoint, budget, longest_body
         self._rest = rest
         self.host, self._clock = f"{endpoint[0]}:{endpoint[1]}", clock
-        self.connect_timeout, self._keep = connect_timeout, idle_timeout // 2
+        self.connect_timeout, self.keep = connect_timeout, idle_timeout // 2
         self._idle: dict[Connection, None] = {}
         self._closed = False
 
@@ -206,7 +214,7 @@
     def trim(self) -> None:
         """Idle ones stand in the order of their last use."""
         now = self._clock.now()
-        while self._idle and now - (oldest := next(iter(self._idle))).idle_since >= self._keep:
+        while self._idle and now - (oldest := next(iter(self._idle))).idle_since >= self.keep:
             self.drop(oldest)
 
     def close(self) -> None:
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -5,6 +5,7 @@
 import asyncio
 import heapq
 import traceback
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from typing import Any, Protocol, cast
@@ -12,14 +13,18 @@
 from lotusstream import interface as api
 from lotusstream.deployment import Deployment
 from lotusstream.interface import Outcome
-from lotusstream.net.actor import Actor, Supervisor
+from lotusstream.net.actor import Actor, Mailbox, Supervisor
 from lotusstream.net.client import ClientLeft, Overdue, Reply, TakenCommand
 from lotusstream.net.clock import Clock
-from lotusstream.net.connection import US, SocketBudget
-from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, SendEnded, SetPriority, StartSend
+from lotusstream.net.connection import US, Endpoint, SocketBudget
+from lotusstream.net.endpoints import Endpoints
+from lotusstream.net.engine import CancelSend, EngineActor, SendEnded, SetPriority, StartSend
 from lotusstream.policy import Gateway
 from lotusstream.protocol import front, notices
 
+ROUND_BUDGET = 4_000  # microseconds of new requests in one round
+LIST_SLICE = 256  # entries of a list that the module is told of in one round
+
 
 @dataclass(slots=True, eq=False)
 class Held:
@@ -161,7 +166,38 @@
 )
 
 
+class DeciderMailbox(Mailbox[DeciderMessage]):
+    """New requests in a line of their own, behind all that ends, leaves or is withdrawn."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._requests: deque[TakenCommand] = deque()
+
+    def put(self, message: DeciderMessage) -> None:
+        if isinstance(message, TakenCommand):
+            self._requests.append(message)
+            self.wake()
+        else:
+            super().put(message)
+
+    def take(self) -> DeciderMessage | None:
+        message = super().take()
+        if message is None and self._requests:
+            self.wake()
+        return message
+
+    def take_request(self) -> TakenCommand | None:
+        if not self._requests:
+            return None
+        request = self._requests.popleft()
+        if not self._requests and not len(self):
+            self.rest()
+        return request
+
+
 class Decider(Actor[DeciderMessage]):
+    mailbox: DeciderMailbox
+
     def __init__(
         self,
         deployment: Deployment,
@@ -173,6 +209,7 @@
     ) -> None:
         """`beside`: what is put beside each new module."""
         super().__init__("decider", supervisor)
+        self.mailbox = DeciderMailbox()
         self._beside = beside
         self.gate: Gate | None = None
         self._most_bytes, self._bytes = statement_bytes, 0
@@ -186,9 +223,8 @@
         self._held: dict[int, Held] = {}
         self._by_taken: dict[TakenCommand, Held] = {}
         self._calls: set[str] = set()
-        self._engines: dict[api.EngineId, EngineActor] = {}
-        self._retired: set[EngineActor] = set()
-        self._entries: dict[api.EngineId, api.Engine] = {}
+        self._endpoints = Endpoints(self._new_actor, deployment.idle_timeout)
+        self._list_slices: deque[notices.Listed] = deque()  # that the module has not been told yet
         self._timers: list[tuple[int, int]] = []
         self._armed: tuple[int, asyncio.TimerHandle] | None = None
         self.listed = False
@@ -206,17 +242,21 @@
     # What is told
 
     def _round(self) -> None:
-        """All that is known by now, then Settled, then the actions in their order."""
+        """All that is known by now, then Settled, then the actions in their order. What ends, leaves or is
+        withdrawn is told before new requests, and of these no more than fit a round: the rest waits for the
+        next, and the module is told for how long."""
         self._now = self._last_round = max(self._now, self._clock.now())
         actions: list[api.Action] = []
         while (message := self.mailbox.take()) is not None:
-            try:
-                event = self._event(message)
-            except Exception as error:
-                self.supervisor.failed(f"decider, {type(message).__name__}", error)
-                continue
-            if event is not None:
-                actions += self._tell(event)
+            actions += self._told(message)
+        if (news := self._next_slice()) is not None:
+            actions += self._tell(news)
+        while (request := self.mailbox.take_request()) is not None:
+            actions += self._told(request)
+            if self._clock.now() - self._now > ROUND_BUDGET:
+                break
+        if self._list_slices:
+            self.mailbox.wake()
         while self._timers and self._timers[0][0] <= self._now:
             actions += self._tell(api.Woken(heapq.heappop(self._timers)[1]))
         actions += self._tell(api.Settled())
@@ -224,6 +264,14 @@
         self._arm()
         self.supervisor.counters.peak("round, us", self._clock.now() - self._now)
 
+    def _told(self, message: DeciderMessage) -> list[api.Action]:
+        try:
+            event = self._event(message)
+        except Exception as error:
+            self.supervisor.failed(f"decider, {type(message).__name__}", error)
+            return []
+        return [] if event is None else self._tell(event)
+
     def _event(self, message: DeciderMessage) -> api.Event | None:
         match message:
             case TakenCommand():
@@ -237,7 +285,7 @@
             case api.Noted():
                 return message if message.command in self._held else None
             case notices.Notice():
-                return self._list(message)
+                self._list(message)
             case api.Stopping():
                 self._stopping = message
                 return message
@@ -252,7 +300,11 @@
     def _take(self, taken: TakenCommand) -> api.Event | None:
         counters, profile = self.supervisor.counters, self._deployment.profiles[taken.fields.profile]
         counters.add(f"taken {profile}")
-        counters.peak("wait before the module, us", self._now - (taken.ends_by - taken.fields.time_left))
+        waited = self._now - taken.sent_at
+        counters.peak("wait before the module, us", waited)
+        if taken.over:
+            counters.add("left before they were decided")
+            return None
         if taken.fields.call in self._calls:
             counters.add("commands unusable")
             taken.client.post(Reply(front.encode_failure(taken.seqid, "call is open already"), taken))
@@ -278,6 +330,7 @@
             taken.group,
             None,
             tenant=taken.tenant,
+            waited=max(0, waited),
         )
 
     def _left(self, taken: TakenCommand) -> api.Event | None:
@@ -302,6 +355,8 @@
         if not self.supervisor.invariants.hold("a send ends once", once) or held is None:
             return None
         held.out.discard(told.number)
+        if (actor := held.sends[told.number]) is not None:
+            actor.attempts_out, actor.used_at = actor.attempts_out - 1, self._now
         self.supervisor.counters.add(f"sends {told.outcome.name.lower()}")
         held.ran = held.ran or told.outcome not in api.PROVES_NOT_RUN
         if told.outcome is Outcome.ANSWERED and held.open:
@@ -341,54 +396,24 @@
             self._answer(held, front.encode_answer("process", seqid, ready.rows, True), "answered")
         return api.ClientGone(held.id)
 
-    def _list(self, notice: notices.Notice) -> api.Event:
-        if notice.whole:
-            named = {listed.engine.id for listed in notice.listed}
-            for engine in [engine for engine in self._engines if engine not in named]:
-                self._engines[engine].post(ListedAs(ready=False, restarted=False))
-                self._entries[engine] = replace(self._entries[engine], state=api.State.GONE)
-        for listed in notice.listed:
-            self._know(listed)
-        self._drop_gone()
+    def _list(self, notice: notices.Notice) -> None:
+        """Takes what a list says anew. A long one is told to the module in slices, a round each, so that
+        answers and timers are not held up; what is withdrawn comes first."""
+        differing = self._endpoints.differing(notice)
+        self._endpoints.apply(differing)
+        latest = {each.engine.id: each for each in (*self._list_slices, *differing)}
+        withdrawn_first = sorted(latest.values(), key=lambda each: each.engine.state is api.State.READY)
+        self._list_slices = deque(withdrawn_first)
+        self.supervisor.counters.peak("listed endpoints", len(self._endpoints))
+        self.supervisor.counters.add("list entries changed", len(differing))
         self.listed = True
-        kind = api.ListKind.FULL if notice.whole else api.ListKind.CHANGES
-        return api.EngineNews(kind, tuple(listed.engine for listed in notice.listed))
-
-    def _know(self, listed: notices.Listed) -> None:
-        entry, before = listed.engine, self._entries.get(listed.engine.id)
-        actor = self._engines.get(entry.id)
-        self._entries[entry.id] = entry
-        if listed.endpoint and (actor is None or actor.endpoint != listed.endpoint):
-            if actor is not None:
-                self._retired.add(actor)
-                actor.post(ListedAs(ready=False, restarted=True))
-            actor = self._engines[entry.id] = EngineActor(
-                entry.id,
-                listed.endpoint,
-                self._budget,
-                self._deployment.connect_timeout,
-                self._deployment.idle_timeout,
-                self._clock,
-                self.post,
-                self.supervisor,
-                self._started.allowed.copies,
-            )
-            actor.start()
-        if actor is not None:
-            restarted = before is not None and before.started != entry.started
-            actor.post(ListedAs(entry.state is api.State.READY, restarted))
-
-    def _drop_gone(self) -> None:
-        """Those of engines that are gone, or have moved, stay while a send of theirs is known."""
-        for engine, entry in list(self._entries.items()):
-            if entry.state is api.State.GONE:
-                del self._entries[engine]
-                if (actor := self._engines.pop(engine, None)) is not None:
-                    self._retired.add(actor)
-        used = {actor for held in self._held.values() for actor in held.sends}
-        for actor in self._retired - used:
-            self._retired.discard(actor)
-            actor.close()
+
+    def _next_slice(self) -> api.EngineNews | None:
+        if not self._list_slices:
+            return None
+        count = min(LIST_SLICE, len(self._list_slices))
+        entries = tuple(self._list_slices.popleft().engine for _ in range(count))
+        return api.EngineNews(api.ListKind.CHANGES, entries)
 
     def look_after(self) -> None:
         """Now and then: what is overdue, idle or retired."""
@@ -396,10 +421,8 @@
         for taken in self._by_taken:
             if now > taken.ends_by:
                 self.post(Overdue(taken))
-        for actor in self._engines.values():
-            actor.trim()
-        if self._retired:
-            self._drop_gone()
+        self._budget.trim(now)
+        self._endpoints.tidy(now)
 
     def _describe(self, answer: asyncio.Future[View]) -> None:
         believed = next((a for a in self._tell(api.Asked()) if isinstance(a, api.Believed)), None)
@@ -417,11 +440,22 @@
                     held.id, taken.fields.call, profile, taken.group, age, left, len(held.sends), engines
                 )
             )
-        addresses = {
-            engine: f"{actor.endpoint[0]}:{actor.endpoint[1]}" for engine, actor in self._engines.items()
-        }
+        addresses = self._endpoints.addresses()
         answer.set_result(View(self._now, believed, tuple(commands), addresses, self._deployment.kinds))
 
+    def _new_actor(self, engine: api.EngineId, endpoint: Endpoint) -> EngineActor:
+        return EngineActor(
+            engine,
+            endpoint,
+            self._budget,
+            self._deployment.connect_timeout,
+            self._deployment.idle_timeout,
+            self._clock,
+            self.post,
+            self.supervisor,
+            self._started.allowed.copies,
+        )
+
     # The module
 
     def _new_module(self) -> Module:
@@ -449,7 +483,8 @@
                 self._cancel(held, number)
         self._module = self._new_module()
         self._timers.clear()
-        news = api.EngineNews(api.ListKind.FULL, tuple(self._entries.values()))
+        listed = tuple(listed.engine for listed in self._endpoints.listed.values())
+        news = api.EngineNews(api.ListKind.FULL, listed)
         events = (self._started, news, self._stopping) if self._stopping else (self._started, news)
         return [action for event in events for action in self._module.handle(self._now, event)]
 
@@ -490,13 +525,15 @@
         held = self._held.get(action.command)
         if held is None:  # it left, or the module began anew, in this very round
             return
-        number, actor = len(held.sends), self._engines.get(action.engine)
+        number, actor = len(held.sends), self._endpoints.actor(action.engine)
         held.sends.append(actor)
         held.out.add(number)
         usable = held.open and number < self._started.allowed.sends
         if actor is None or not usable:
+            held.sends[number] = None
             self.post(SendEnded(held.id, number, action.engine, Outcome.MOOT, 0))
             return
+        actor.attempts_out, actor.used_at = actor.attempts_out + 1, self._now
         taken = held.taken
         ends_at = min(self._now + action.time_out, taken.ends_by) if action.time_out else taken.ends_by
         profile = self._deployment.profiles[taken.fields.profile]
@@ -514,7 +551,7 @@
             owed=taken.owed,
         )
         if self.gate is not None and held.behind:
-            self.gate.post(Departs(start, actor, self._entries[action.engine], taken))
+            self.gate.post(Departs(start, actor, self._endpoints.listed[action.engine].engine, taken))
         else:
             actor.post(start)
 
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -112,6 +112,7 @@
         """`copies`: two sends of a command may be out at once."""
         super().__init__(f"engine {engine.decode()}", supervisor)
         self.engine, self.endpoint, self.ready = engine, endpoint, True
+        self.attempts_out, self.used_at = 0, clock.now()  # counted by who starts them
         self._incarnation = 0  # counts the engine's restarts, as far as they are listed
         times = connect_timeout, idle_timeout
         self._pool = Pool(endpoint, budget, *times, http.PAGE_BYTES, clock, rest=http.ECHO)
@@ -146,9 +147,6 @@
             profile=running.start.profile,
         )
 
-    def trim(self) -> None:
-        self._pool.trim()
-
     def close(self) -> None:
         self._pool.close()
         if self._task is not None:
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -31,6 +31,7 @@
 COME_ON = 600 * MS  # and until then commands still come
 PAUSE = 0.01  # seconds
 LONGEST_WAIT = 3000 * MS  # that much of the longest client timeout is left after that
+LAG_NOTICED = 20 * MS  # a turn of the loop that counts against the time of the requests behind it
 OWN = 16  # descriptors: the program's files, the loop's, the listener and the board
 
 
@@ -211,7 +212,9 @@
         while True:
             before = self._clock.now()
             await asyncio.sleep(pause / US)
-            self.supervisor.counters.peak("stall of the loop, us", self._clock.now() - before - pause)
+            stall = self._clock.now() - before - pause
+            self._clock.lag = stall if stall > LAG_NOTICED else 0
+            self.supervisor.counters.peak("stall of the loop, us", stall)
             self.supervisor.counters.peak("connections to engines", self._budget.used)
             self._decider.look_after()
             self._share.look_after()
--- a/lotusstream/policy/gateway.py
+++ b/lotusstream/policy/gateway.py
@@ -9,13 +9,14 @@
 
 import math
 import zlib
-from collections import Counter, deque
-from dataclasses import replace
-from heapq import nsmallest
+from collections import deque
 
 from lotusstream import interface as api
 from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, State
 from lotusstream.lots import drawn
+from lotusstream.policy.affinity import Affinity, group_seed
+from lotusstream.policy.catalog import Catalog, Domain, EntryChange, gone
+from lotusstream.policy.overload import QueueDelay
 from lotusstream.policy.state import Backend, Command, Pool, Try
 from lotusstream.ring import Ring
 
@@ -30,6 +31,10 @@
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
 LONGEST_WORD = 20  # shortest targets for which another's word may keep an engine aside
+FEW = 40  # engines: a choice looks at all of no more than these
+SAMPLED, WARM_SAMPLED, WIDENED = 10, 8, 48  # looked at of more: any, warm ones, and where none of them fits
+KEPT, KEPT_IDLE, KEPT_FAILED = 128, 8, 64  # engines known; shortest targets without a send after which one of
+# more is forgotten, and one that has failed
 
 
 class Usual:
@@ -61,8 +66,7 @@
 class Gateway:
     def __init__(self) -> None:
         self.actions: list[api.Action] = []
-        self.backends: dict[api.EngineId, Backend] = {}
-        self.ready: list[Backend] = []
+        self.backends: dict[api.EngineId, Backend] = {}  # by their last send, the longest ago first
         self.open: dict[int, Command] = {}
         self.waiting: dict[int, Command] = {}
         self.turns: dict[int, deque[Command]] = {}
@@ -72,9 +76,11 @@
         self.pools: dict[int | None, Pool] = {}  # by name; without cells all engines are of one
         self.cells: dict[int, api.Confined] = {}
         self.pool_of: dict[api.EngineId, int] = {}
-        self.homes: dict[object, list[Backend]] = {}
-        self.groups, self.earlier, self.epoch = Counter[int](), Counter[int](), 0  # commands per group
-        self.draws, self.looked_at, self.stop_by = 0, 0, NEVER
+        self.homes: dict[object, dict[api.EngineId, None]] = {}
+        self.ran_at: dict[int, dict[api.EngineId, None]] = {}  # engines that ran a group lately
+        self.spare: dict[tuple[int, int], float] = {}  # by zone and kind: the part left by bound profiles
+        self.draws, self.stop_by = 0, NEVER
+        self.queue_delay = QueueDelay()
         self.reduced: api.Reduced | None = None
         self.reactions = {
             api.Started: self._start, api.EngineNews: self._learn_engines, api.Arrived: self._take,
@@ -105,6 +111,8 @@
         self.given, self.duties, self.allowed = event, event.duties, event.allowed
         self.shortest = min(profile.target for profile in event.profiles)
         self.even = self.share = 1.0 / event.gateways
+        self.catalog = Catalog(self.seed, self.even, self._cores)
+        self.affinity = Affinity(WARM_GROUPS, 16 * self.shortest)
         self.in_hand, self.pools[None] = Ring(4 * self.shortest, BUCKETS), self._new_pool()
         self.unprobed, self.probed = 0, int(self._chance() * PROBE_EVERY)
         self.look_every = max(event.period, self.shortest // 20)
@@ -116,33 +124,99 @@
         if event.kind is ListKind.FAILED:
             self.actions.append(api.Subscribe(True))
             return
-        if event.kind is not ListKind.CHANGES:
-            listed = {entry.id for entry in event.engines}
-            for be in [be for be in self.backends.values() if be.entry.id not in listed]:
-                be.entry = replace(be.entry, state=State.GONE)
-        for entry in event.engines:
-            known = self.backends.get(entry.id)
-            if known is None or (known.entry.started != entry.started and entry.state is not State.GONE):
-                cores = self.given.kinds[entry.kind].cores if entry.kind < len(self.given.kinds) else 1.0
-                fresh = Backend(entry, self.pools[None], cores, Ring(8 * self.shortest, BUCKETS), OPEN_WIDTH,
-                                CREDIT_START)  # fmt: skip
-                fresh.chill(entry.started or None, self._chance())
-                if known is not None:
-                    fresh.out, fresh.threads = known.out, known.threads
-                self.backends[entry.id] = fresh
-            else:
-                known.entry = entry
-        # one that is gone stays known while it owes outcomes: a key's turn may hang on them
-        self.backends = {engine: be for engine, be in self.backends.items()
-                         if be.out or be.entry.state is not State.GONE}  # fmt: skip
-        self.ready = [be for be in self.backends.values() if be.entry.state is State.READY]
-        self._regroup()
+        changes = self.catalog.apply(event.engines, whole=event.kind is not ListKind.CHANGES)
+        for change in changes:
+            self._follow(change)
         self._share_out()
 
+    def _cores(self, kind: int) -> float:
+        return self.given.kinds[kind].cores if kind < len(self.given.kinds) else 1.0
+
+    def _follow(self, change: EntryChange) -> None:
+        """What a change of the list means for the pool and for what is known of the engine."""
+        pool = self._pool_of(change.id)
+        if change.was_ready and change.before is not None:
+            pool.cores -= self._cores(change.before.kind)
+        if change.is_ready and change.after is not None:
+            pool.cores += self._cores(change.after.kind)
+        else:
+            self.affinity.remove(change.id)
+        known = self.backends.get(change.id)
+        if known is None:
+            return
+        if change.after is None:
+            known.entry = gone(known.entry)
+        elif known.entry.started != change.after.started:
+            fresh = self.backends[change.id] = self._fresh(change.after)
+            fresh.out, fresh.threads = known.out, known.threads
+            pool.discount(known)
+            pool.changed.pop(known, None)
+            for group in known.warm:
+                self._cooled(group, known)
+            pool.changed[fresh] = None
+            known = fresh
+        else:
+            known.entry = change.after
+        if not change.is_ready:
+            pool.discount(known)
+        if change.after is None:
+            self._drop_if_gone(known)
+
+    def _drop_if_gone(self, be: Backend) -> None:
+        """One that is gone stays known while it owes outcomes: a key's turn may hang on them."""
+        if be.entry.state is State.GONE and not be.out:
+            self._drop_known(be)
+
+    def _drop_known(self, be: Backend) -> None:
+        be.pool.discount(be)
+        be.pool.changed.pop(be, None)
+        self.backends.pop(be.entry.id, None)
+        for group in be.warm:
+            self._cooled(group, be)
+
+    def _cooled(self, group: int, be: Backend) -> None:
+        ran = self.ran_at.get(group, {})
+        ran.pop(be.entry.id, None)
+        if not ran:
+            self.ran_at.pop(group, None)
+
+    def _fresh(self, entry: api.Engine) -> Backend:
+        """An engine of which this gateway knows what is listed and no more. When its windows begin follows
+        from its name: it may be looked at any number of times before it is kept."""
+        pool = self._pool_of(entry.id)
+        made = Backend(entry, pool, self._cores(entry.kind), 8 * self.shortest, CREDIT_START)
+        if entry.started:
+            made.chill(entry.started, drawn(entry.id, self.seed ^ entry.started & 0xFFFFFFFF))
+        return made
+
+    def _backend(self, engine: api.EngineId) -> Backend:
+        """What is known of a listed engine."""
+        return self.backends.get(engine) or self._fresh(self.catalog.entries[engine])
+
+    def _keep(self, be: Backend) -> None:
+        """Keeps an engine that is sent something, and lets go of what has long been idle."""
+        engine = be.entry.id
+        if self.backends.pop(engine, None) is None:
+            be.adjusted_at = self.now
+        self.backends[engine] = be
+        for _ in range(2):
+            if len(self.backends) <= KEPT:
+                return
+            oldest = next(iter(self.backends.values()))
+            failed = oldest.failures or oldest.aside_until is not None or self._cold(oldest)
+            idle = self.now - oldest.used_at > (KEPT_FAILED if failed else KEPT_IDLE) * self.shortest
+            if oldest.out or not idle:
+                self.backends[oldest.entry.id] = self.backends.pop(oldest.entry.id)
+            else:
+                self._drop_known(oldest)
+
+    def _pool_of(self, engine: api.EngineId) -> Pool:
+        return self.pools[self.pool_of.get(engine) if self.pool_of else None]
+
     def _new_pool(self) -> Pool:
         longest = max(profile.client_timeout for profile in self.given.profiles)
         usual = [Usual(profile, longest) for profile in self.given.profiles]
-        return Pool(Ring(8 * self.shortest, BUCKETS), usual)
+        return Pool(Ring(8 * self.shortest, BUCKETS), usual, OPEN_WIDTH)
 
     def _confine(self, event: api.Confined) -> None:
         """Guards the tenants of one cell against what those of another do to their engines."""
@@ -152,6 +226,8 @@
             self.cells.pop(event.cell, None)
         self.pools.setdefault(event.pool, self._new_pool())
         self.pool_of = {engine: cell.pool for cell in self.cells.values() for engine in cell.engines}
+        self.catalog.forget_domains()
+        self.homes.clear()
         self._regroup()
         self._share_out()
 
@@ -169,13 +245,19 @@
             cmd.earlier.append(event)
 
     def _regroup(self) -> None:
+        """Puts every engine into its pool; only where cells change."""
         for pool in self.pools.values():
-            pool.ready, pool.out = [], 0
+            pool.cores, pool.out = 0.0, 0
+            for be in list(pool.active):
+                pool.discount(be)
+            pool.changed.clear()
+        for entry in self.catalog.entries.values():
+            if entry.state is State.READY:
+                self._pool_of(entry.id).cores += self._cores(entry.kind)
         for be in self.backends.values():
-            be.pool = self.pools[self.pool_of.get(be.entry.id)]
+            be.pool = self._pool_of(be.entry.id)
             be.pool.out += be.threads
-            if be.entry.state is State.READY:
-                be.pool.ready.append(be)
+            be.pool.changed[be] = None
 
     def _take(self, event: api.Arrived) -> None:
         cell = self.cells.get(event.cell) if event.cell is not None else None
@@ -193,19 +275,21 @@
             self.turns.setdefault(cmd.key, deque()).append(cmd)
         self.taken.add(self.now, 0.0)
         usual.asked.add(self.now, work)
-        if self.now // (16 * self.shortest) != self.epoch:
-            self.epoch, self.earlier, self.groups = self.now // (16 * self.shortest), self.groups, Counter()
-        self.groups[cmd.group] += 1
-        seen = self.groups.total()  # guards bound engines from the first commands on, not an epoch later
-        if not seen & (seen - 1):
-            self._share_out()
+        if self.affinity.record(self.now, cmd.group):
+            self._share_out()  # guards bound engines from the first commands on, not an epoch later
         self.unprobed += 1
-        if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand and self.ready:
-            self.unprobed, self.probed = 0, self.probed + 1
-            self.actions.append(api.Probe(self.ready[self.probed % len(self.ready)].entry.id))
-        if ends_by - self.now <= 2 * self.look_every or not self._admitted(cmd):  # nothing can be done
+        if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand:
+            self._probe()
+        too_late = ends_by - self.now <= 2 * self.look_every  # nothing can be done
+        if self.queue_delay.refuses(self.now, event.waited) or too_late or not self._admitted(cmd):
             self._give_up(cmd)
 
+    def _probe(self) -> None:
+        every = self._domain(None, None)
+        if len(every):
+            self.unprobed, self.probed = 0, self.probed + 1
+            self.actions.append(api.Probe(every.at(self.probed % len(every))))
+
     def _client_gone(self, event: api.ClientGone) -> None:
         if cmd := self.open.get(event.command):
             self._forget(cmd)
@@ -231,18 +315,22 @@
         beliefs = [api.Belief(be.entry.id, be.entry.state, be.entry.zone, be.entry.kind, be.cores, be.threads,
                               len(be.out), len(be.loads), be.pace, be.pressed, be.slice, be.credit,
                               be.failures, be.aside_until, self._cold_until(be))
-                   for be in self.backends.values()]  # fmt: skip
+                   for be in self._known()]  # fmt: skip
         calm, strained = (pick(getattr(pool, name) for pool in self.pools.values())
                           for pick, name in ((max, "calm"), (any, "strained")))  # fmt: skip
         self.actions.append(api.Believed(tuple(beliefs), self.share, calm, strained,
                                          len(self.open), len(self.waiting)))  # fmt: skip
 
+    def _known(self) -> list[Backend]:
+        listed = [self._backend(engine) for engine in self.catalog.entries]
+        return listed + [be for be in self.backends.values() if be.entry.state is State.GONE]
+
     def _woken(self, event: api.Woken) -> None:
         self.woken_for = None if event.token == self.woken_for else self.woken_for
 
     def _probed(self, event: api.Probed) -> None:
-        if event.engine in self.backends and event.report and event.report.in_hand is not None:
-            own = sum(len(be.out) for be in self.ready) / max(1, len(self.ready))
+        if event.engine in self.catalog.entries and event.report and event.report.in_hand is not None:
+            own = sum(len(be.out) for be in self.backends.values()) / max(1, self.catalog.ready)
             self.in_hand.add(self.now, own, max(event.report.in_hand, own))
             own, everyone = self.in_hand.total(self.now)
             self.share = max(self.even / 2, (own + 10 * self.even) / (everyone + 10))
@@ -267,6 +355,7 @@
         held = be.ends(event.command << 8 | event.send) if be else None
         if be and held:
             self._judge(be, *held, event)
+            self._drop_if_gone(be)
         cmd = held[0] if held else self.open.get(event.command)
         if cmd is None or event.send >= len(cmd.tries):
             return
@@ -299,6 +388,7 @@
                 be.pool.usual[cmd.kind].learn(self.now, work, cmd.hint)
         elif event.outcome is Outcome.FULL:
             be.full_at = self.now
+            be.pool.changed[be] = None
         elif not a_try.doomed and event.outcome not in (Outcome.MOOT, Outcome.ERROR if cmd.erred else None):
             be.lost = be.lost or not event.heard  # what answers has not ended, nor has what it runs
             # a refused connection where nothing else was heard lately tells as much as several late answers
@@ -325,7 +415,8 @@
 
     def _learn_pace(self, be: Backend, cmd: Command, latency: int, alone: float) -> None:
         pace = math.log(max(latency, 1) / max(alone, 1.0))
-        for ring in (be.paces, be.pool.paces, be.pool.usual[cmd.kind].paces):
+        be.learn_pace(self.now, pace, BUCKETS)
+        for ring in (be.pool.paces, be.pool.usual[cmd.kind].paces):
             ring.add(self.now, pace)
 
     # Endings
@@ -383,12 +474,24 @@
 
     # Where a command may go
 
+    def _domain(self, profile: api.Profile | None, cell: int | None) -> Domain:
+        """The engines that a profile's commands of a cell may go to."""
+        zones, kinds = (profile.zones, profile.kinds) if profile else (None, None)
+        if cell is None:
+            return self.catalog.domain((zones, kinds, None), profile.open_to if profile else _any)
+        inside = self.cells[cell].engines if cell in self.cells else frozenset[api.EngineId]()
+        return self.catalog.domain(
+            (zones, kinds, cell),
+            lambda entry: entry.id in inside and (profile is None or profile.open_to(entry)),
+        )
+
     def _allowed_there(self, cmd: Command, be: Backend) -> bool:
-        profile, entry = cmd.profile, be.entry
-        if cmd.cell is not None and not (cmd.cell in self.cells and entry.id in self.cells[cmd.cell].engines):
+        """Of its domain; whether the command may be sent at all was asked before."""
+        if be.aside_until is not None and (be.out or self.now < be.aside_until):
             return False
-        if not profile.open_to(entry) or (cmd.tries and (be.credit < 1 or not self._may_send_again(cmd))):
+        if cmd.tries and be.credit < 1:
             return False
+        profile, entry = cmd.profile, be.entry
         if profile.effect is Effect.UNIQUED and (ran := cmd.ran):
             zone, cell = ran[0].zone == entry.zone, ran[0].cell == entry.cell
             if not {api.Scope.ZONE: zone, api.Scope.CELL: cell}.get(profile.scope, True):
@@ -432,25 +535,42 @@
         if threads == 1 or pool.room < 1:
             return thin and not be.threads and pool.room >= 1
         # guards wide commands against small ones that take each thread as it falls free
-        alike = sum(cmd.profile.threads for near in (pool.ready if thin else [be])
+        alike = sum(cmd.profile.threads for near in (pool.active if thin else [be])
                     for cmd, _ in near.out.values() if cmd.profile.threads >= threads)  # fmt: skip
         return alike + threads <= max(pool.room + pool.out if thin else be.slice, threads)
 
     def _gauge_pool(self, pool: Pool) -> None:
-        """Each engine's pace and pressure. Few answers of an engine weigh less than those of all."""
+        """The pool's pace and pressure, from the engines that have changed; all others are as they were, or
+        nothing is known of them."""
         pool.calm = max(1.0, math.exp(pool.paces.latest(self.now, 0.0, ENOUGH / 8, ENOUGH)))
-        best, calm = max(1.0, min(pool.best, pool.calm)), math.log(pool.calm)
-        for be in pool.ready:
-            be.pace = math.exp(be.paces.latest(self.now, calm, ENOUGH / 4, ENOUGH))
-            refused = be.full_at is not None and self.now - be.full_at < self.shortest
-            full = be.threads >= max(1.0, OPEN_WIDTH * be.cores * self.share)
-            be.pressed = (refused or (full and max(be.pace, be.stuck) > NEAR_BEST * best)
-                          or max(be.pace, be.overdue) > PRESSURE * best)  # fmt: skip
-            be.slice = be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
-        cores = sum([be.cores for be in pool.ready])
-        pool.strained = sum([be.cores for be in pool.ready if be.pressed]) > STRAINED * cores
-        pool.room = sum([be.slice for be in pool.ready]) - pool.out  # of all slices together
-        pool.others = (1 / self.share - 1) * pool.out / max(1.0, cores)  # threads a core, as far as is known
+        pool.all_pressed = pool.calm > PRESSURE * pool.floor
+        pool.slice_per_core = self.share * (pool.width if pool.all_pressed else OPEN_WIDTH)
+        for be in pool.changed:
+            self._gauge(be)
+        pool.changed.clear()
+        unknown = max(0.0, pool.cores - pool.sums.cores)
+        pressed = pool.sums.pressed_cores + (unknown if pool.all_pressed else 0.0)
+        pool.strained = pressed > STRAINED * pool.cores
+        pool.room = pool.sums.slices + unknown * pool.slice_per_core - pool.out  # of all slices together
+        pool.others = (1 / self.share - 1) * pool.out / max(1.0, pool.cores)  # threads a core, as known
+
+    def _gauge(self, be: Backend) -> None:
+        """An engine's pace and pressure. Few answers of an engine weigh less than those of all."""
+        pool, best = be.pool, be.pool.floor
+        be.gauged_at = self.now
+        be.pace = pool.calm
+        if be.paces is not None:
+            be.pace = math.exp(be.paces.latest(self.now, math.log(pool.calm), ENOUGH / 4, ENOUGH))
+        refused = be.full_at is not None and self.now - be.full_at < self.shortest
+        full = be.threads >= max(1.0, OPEN_WIDTH * be.cores * self.share)
+        be.pressed = (refused or (full and max(be.pace, be.stuck) > NEAR_BEST * best)
+                      or max(be.pace, be.overdue) > PRESSURE * best)  # fmt: skip
+        be.slice = be.cores * self.share * (be.width if be.pressed else OPEN_WIDTH)
+        known = self.backends.get(be.entry.id) is be  # not one that has restarted since
+        if known and be.entry.state is State.READY and (be.out or be.pressed):
+            pool.count(be)
+        else:
+            pool.discount(be)
 
     def _added_stall(self, cmd: Command, be: Backend) -> float:
         """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
@@ -464,77 +584,143 @@
                 stall = max(ends - self.now, (self.now - began) / 4)
         if profile.loads:
             readers = sum(other.group == cmd.group and other.profile.waits for other, _ in be.out.values())
-            others = self.share < 0.5 and be in self._homes(cmd)  # their readers
+            others = self.share < 0.5 and be.entry.id in self._homes(cmd)  # their readers
             stall += (readers + others) * cmd.work / profile.threads
         return stall
 
     def _share_out(self) -> None:
         """Guards engines that some profile is bound to against work that could go elsewhere: what a command
         free to go anywhere sees of an engine is what the bound ones are thought to leave."""
-        self.homes.clear()
-        if self.share < 0.5:
-            self._keep_groups()
         asked = [sum([pool.usual[at].asked.total(self.now)[0] for pool in self.pools.values()])
                  for at in range(len(self.given.profiles))]  # fmt: skip
-        level = sum(asked) / max(1.0, sum([be.cores for be in self.ready]))  # work asked for a core
-        for be in self.ready:
-            be.spare = be.cores
+        level = sum(asked) / max(1.0, self.catalog.ready_cores)  # work asked for a core
+        classes = self.catalog.cores_by_class
+        self.spare = dict.fromkeys(classes, 1.0)
         for profile, work in zip(self.given.profiles, asked, strict=True):
-            bound = [be for be in self.ready if profile.open_to(be.entry)]
-            if level and len(bound) < len(self.ready):
-                taken = work / level / max(1.0, sum([be.cores for be in bound]))  # part of these engines
-                for be in bound:
-                    be.spare = max(be.cores / 10, be.spare - be.cores * taken)
+            if not profile.bound:
+                continue
+            bound = [each for each in classes if _class_open_to(profile, *each)]
+            if level and len(bound) < len(classes):
+                taken = work / level / max(1.0, sum([classes[each] for each in bound]))  # part of these
+                for each in bound:
+                    self.spare[each] = max(0.1, self.spare[each] - taken)
+        self.homes.clear()
 
-    def _draw(self, seed: int, profile: api.Profile, be: Backend) -> float:
+    def _draw(self, seed: int, profile: api.Profile, entry: api.Engine) -> float:
         """A lot by hash, least for the engine drawn: fair by what each has to give."""
-        return -math.log(drawn(be.entry.id, seed)) / (be.cores if profile.bound else be.spare)
+        part = 1.0 if profile.bound else self.spare.get((entry.zone, entry.kind), 1.0)
+        return -math.log(drawn(entry.id, seed)) / (self._cores(entry.kind) * part)
 
-    def _homes(self, cmd: Command) -> list[Backend]:
+    def _homes(self, cmd: Command) -> dict[api.EngineId, None]:
         """The engines where all gateways run a group, agreed without a word by hashing both: two at least.
         Each is home to as many groups as it keeps warm, by lots weighted with what these draw of commands:
         guards engines against being home to many hot groups while others are home to none."""
-        group, profile = cmd.group, cmd.profile
-        name = (group, profile.zones, profile.kinds, cmd.cell)
+        domain = self._domain(cmd.profile, cmd.cell)
+        name = (cmd.group, domain.key)
         if name not in self.homes:
-            inside = self.cells[cmd.cell].engines if cmd.cell in self.cells else ()
-            fit = [be for be in self.ready if profile.open_to(be.entry)
-                   and (cmd.cell is None or be.entry.id in inside)]  # fmt: skip
-            seed = zlib.crc32(group.to_bytes(8, "little", signed=True))
-            fit.sort(key=lambda be: (group not in be.keeps, self._draw(seed, profile, be), be.entry.id))
-            every = self.groups + self.earlier
-            part = every[group] / (every.total() + len(self.ready))  # few samples: few homes
-            kept = sum([group in be.keeps for be in fit])
-            self.homes[name] = fit[: max(2, min(int(WARM_GROUPS * part * len(fit)), kept))]
+            self.homes[name] = self._agreed_homes(cmd, domain)
         return self.homes[name]
 
-    def _keep_groups(self) -> None:
-        seen = [(zlib.crc32(group.to_bytes(8, "little", signed=True)), group, count)
-                for group, count in (self.groups + self.earlier).items()]  # fmt: skip
-        for be in self.ready:
-            lots = [(-math.log(drawn(be.entry.id, seed)) / n, group) for seed, group, n in seen]
-            be.keeps = {group for _, group in nsmallest(WARM_GROUPS, lots)}
+    def _agreed_homes(self, cmd: Command, domain: Domain) -> dict[api.EngineId, None]:
+        preferred = domain.preferred
+        self.affinity.enrol(domain.first(preferred))
+        rank = self.catalog.rank
+        kept = [engine for engine in self.affinity.kept_by(cmd.group) if self._is_home(cmd, domain, engine)]
+        part = self.affinity.part(cmd.group, preferred)
+        count = max(2, min(int(WARM_GROUPS * part * preferred), len(kept)))
+        found = kept if len(kept) >= count else domain.first(preferred)
+        keeping, seed = set(kept), group_seed(cmd.group)
+        entries = self.catalog.entries
+        draws = [(engine not in keeping, self._draw(seed, cmd.profile, entries[engine]), engine)
+                 for engine in found if domain.prefers(rank(engine))]  # fmt: skip
+        return dict.fromkeys([engine for _, _, engine in sorted(draws)[:count]])
+
+    def _is_home(self, cmd: Command, domain: Domain, engine: api.EngineId) -> bool:
+        entry = self.catalog.entries.get(engine)
+        if entry is None or entry.state is not State.READY or not domain.prefers(self.catalog.rank(engine)):
+            return False
+        if not cmd.profile.open_to(entry):
+            return False
+        return cmd.cell is None or (cmd.cell in self.cells and engine in self.cells[cmd.cell].engines)
 
-    def _place(self, cmd: Command, roomy: list[Backend]) -> tuple[float, float, float, Backend] | None:
+    def _place(self, cmd: Command) -> tuple[float, float, float, Backend] | None:
         """The least stall, then the choice among equals: crowding, the engine's speed, and whether it keeps
         the group warm; then the home."""
-        options = []
-        homes = self._homes(cmd) if self.share < 0.5 else []
+        if cmd.tries and not self._may_send_again(cmd):
+            return None
+        domain = self._domain(cmd.profile, cmd.cell)
+        homes = self._homes(cmd) if self.share < 0.5 else {}
+        if len(domain) <= FEW:
+            return self._best_of(cmd, homes, [self._backend(engine) for engine in domain.first(FEW)])
+        seen = dict.fromkeys(self._warm_sample(cmd, domain, homes))
+        self._sample(domain, SAMPLED, seen)
+        looked_at = [self._backend(engine) for engine in seen]
+        if (found := self._best_of(cmd, homes, looked_at)) is not None:
+            return found
+        before = len(seen)
+        self._sample(domain, WIDENED, seen, preferred=False)
+        return self._best_of(cmd, homes, [self._backend(engine) for engine in [*seen][before:]])
+
+    def _warm_sample(
+        self, cmd: Command, domain: Domain, homes: dict[api.EngineId, None]
+    ) -> list[api.EngineId]:
+        """Some engines that keep the command's group warm, as agreed or as this gateway has seen."""
+        if homes:
+            warm = [*homes]
+        else:
+            warm = [engine for engine in self.ran_at.get(cmd.group, ()) if self._is_home(cmd, domain, engine)]
+        if len(warm) <= WARM_SAMPLED:
+            return warm
+        begin = self._lot() % len(warm)
+        return (warm + warm)[begin : begin + WARM_SAMPLED]
+
+    def _sample(
+        self, domain: Domain, count: int, seen: dict[api.EngineId, None], *, preferred: bool = True
+    ) -> None:
+        """Adds as many engines of a domain, by lot; fewer where the same come twice."""
+        most = domain.preferred if preferred else len(domain)
+        for _ in range(min(count, most)):
+            seen[domain.at(self._lot() % most)] = None
+
+    def _best_of(
+        self, cmd: Command, homes: dict[api.EngineId, None], looked_at: list[Backend]
+    ) -> tuple[float, float, float, Backend] | None:
+        options: list[tuple[float, float, Backend]] = []
         own = cmd.profile.threads if self.share >= 0.5 else 0  # guards wide engines against all gateways
-        fit = [be for be in roomy if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be)]
+        fit = []
+        for be in looked_at:
+            if 0 <= be.gauged_at <= self.now - self.look_every:
+                self._adjust(be)
+                self._gauge(be)
+            if self._fits(cmd.profile.threads, be) and self._allowed_there(cmd, be):
+                fit.append(be)
         failed_at = cmd.failed_at
         for be in [be for be in fit if be not in failed_at] or fit:
             part = self.duties.cold_from if self._cold(be) else 1.0  # of the commands, or of its room alone
             crowd = (be.pool.others + (be.threads + own) / be.cores) / (part if own else 1.0)
-            warm = be in homes if homes else cmd.group in be.warm
-            home = (-float(be.warm[cmd.group]) if warm and not homes
-                    else self._draw(cmd.lot, cmd.profile, be) / (1.0 if own else part))  # fmt: skip
+            warm = be.entry.id in homes if homes else cmd.group in be.warm
             cost = max(1.0, crowd) * max(1.0, be.pace / be.pool.calm) * (WARM_WORTH if warm else 1.0)
-            options.append((self._added_stall(cmd, be), cost, home, be))
-        return min(options, key=lambda option: option[:3], default=None)
+            options.append((self._added_stall(cmd, be), cost, be))
+        if not options:
+            return None
+        stall, cost = min([(stall, cost) for stall, cost, _ in options])
+        equals = [be for other_stall, other, be in options if other_stall == stall and other == cost]
+        if len(equals) == 1:
+            return stall, cost, 0.0, equals[0]
+        lots = [(self._home_lot(cmd, be, homes, own), place) for place, be in enumerate(equals)]
+        home, place = min(lots)
+        return stall, cost, home, equals[place]
+
+    def _home_lot(self, cmd: Command, be: Backend, homes: dict[api.EngineId, None], own: int) -> float:
+        """Least for the engine among equals that ran the group last or, where homes are agreed, by lot."""
+        if not homes and cmd.group in be.warm:
+            return -float(be.warm[cmd.group])
+        part = self.duties.cold_from if not own and self._cold(be) else 1.0
+        return self._draw(cmd.lot, cmd.profile, be.entry) / part
 
     def _settle(self, _event: api.Settled) -> None:
         if self.waiting:
+            self._follow_groups()
             self._release()
         if self.look_at is not None and self.now >= self.look_at:
             self.look_at = None
@@ -543,6 +729,14 @@
             self.woken_for = at
             self.actions.append(api.Wake(at, at))
 
+    def _follow_groups(self) -> None:
+        if self.share >= 0.5:
+            return
+        before = self.affinity.version
+        self.affinity.refresh()
+        if self.affinity.version != before:
+            self.homes.clear()
+
     def _plan(self, at: int) -> None:
         self.look_at = at if self.look_at is None else min(at, self.look_at)
 
@@ -553,12 +747,10 @@
             self._gauge_pool(pool)
         stuck = set[tuple[int, int | None]]()  # profiles with no place left; within a release none comes free
         while ready:
-            roomy = [be for be in self.ready if be.aside_until is None or
-                     (not be.out and self.now >= be.aside_until)]  # fmt: skip
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
-                place = self._place(cmd, roomy) if cmd.tries or (cmd.kind, cmd.cell) not in stuck else None
+                place = self._place(cmd) if cmd.tries or (cmd.kind, cmd.cell) not in stuck else None
                 if place is None and not cmd.tries:
                     stuck.add((cmd.kind, cmd.cell))
                 elif place and (picked is None or place[0] < picked[0]):
@@ -585,7 +777,11 @@
         stall, alone = self._added_stall(cmd, be), cmd.work / cmd.profile.threads
         expected = alone * max(1.0, be.pace)
         a_try = Try(be, self.now, alone, expected, len(cmd.tries), self.now + expected + stall, stall > 0)
-        be.begins(cmd, a_try, WARM_GROUPS)
+        self._keep(be)
+        cooled = be.begins(cmd, a_try, WARM_GROUPS)
+        if cooled is not None:
+            self._cooled(cooled, be)
+        self.ran_at.setdefault(cmd.group, {})[be.entry.id] = None
         if cmd.profile.loads:  # scarce cores go first to what others stand behind
             be.loads[cmd.group] = (cmd, a_try.finish)
         named = self.reduced.priorities[cmd.kind] if self.reduced else None
@@ -600,9 +796,10 @@
         for pool in self.pools.values():
             if pool.paces.total(self.now)[1] >= ENOUGH:
                 pool.best = min(pool.calm, pool.best * 1.001)
-        for be in self.ready:
-            self._adjust(be)
-        self.looked_at = self.now
+            self._widen(pool)
+            for be in list(pool.active):
+                self._adjust(be)
+                pool.changed[be] = None
         for cmd in list(self.open.values()):
             fresh = cmd.work / cmd.profile.threads * (cmd.pool.calm if cmd.pool.strained else 1.0)
             useful = cmd.due if cmd.pool.strained else cmd.ends_by  # late answers pay where there is room
@@ -625,11 +822,21 @@
                 + be.cores * be.pool.calm) / (be.threads + be.cores) for count in (False, True))  # fmt: skip
             if be.aside_until is None and self._silent(be):
                 self._set_aside(be)
-        step = 2.0 ** min(1.0, (self.now - self.looked_at) / self.shortest)  # twofold in the shortest target
-        if be.pace < NEAR_BEST * be.pool.best:
-            be.width = min(OPEN_WIDTH, be.width * step)
-        elif be.pace > PRESSURE * be.pool.best:
-            be.width = max(LEAST_WIDTH, be.width / step)
+        be.width = self._width(be.width, be.pace, be.pool, self.now - be.adjusted_at)
+        be.adjusted_at = self.now
+
+    def _widen(self, pool: Pool) -> None:
+        """The width of engines of which nothing is known follows the pool's own pace."""
+        pool.width = self._width(pool.width, pool.calm, pool, self.now - pool.adjusted_at)
+        pool.adjusted_at = self.now
+
+    def _width(self, width: float, pace: float, pool: Pool, passed: int) -> float:
+        step = math.pow(2.0, min(1.0, passed / self.shortest))  # twofold in the shortest target
+        if pace < NEAR_BEST * pool.best:
+            return min(OPEN_WIDTH, width * step)
+        if pace > PRESSURE * pool.best:
+            return max(LEAST_WIDTH, width / step)
+        return width
 
     def _silent(self, be: Backend) -> bool:
         """Overdue sends in a row and not a word: no pause, no slowness, no one bad plan."""
@@ -654,3 +861,12 @@
             cmd.overlong += 1
             self._learn_pace(be, cmd, int(max(age, min(total, RUNAWAY * alone))), alone)  # not its short age
             self._cancel(cmd, a_try)
+
+
+def _any(_entry: api.Engine) -> bool:
+    return True
+
+
+def _class_open_to(profile: api.Profile, zone: int, kind: int) -> bool:
+    in_zone = profile.zones is None or zone in profile.zones
+    return in_zone and (profile.kinds is None or kind in profile.kinds)
--- /dev/null
+++ b/lotusstream/policy/overload.py
@@ -0,0 +1,31 @@
+"""Whether this gateway's own core is overloaded, by how long requests wait for their decision.
+
+Source: controlled delay (CoDel, RFC 8289): a queue whose delay stays above a target for a whole interval is
+a standing queue, and one that falls below the target in between is a burst. While a queue stands, requests
+that have waited longer than the target are refused at once: those behind them are decided in time, and what
+has been waiting longest would be decided too late.
+"""
+
+from __future__ import annotations
+
+TARGET = 40_000  # microseconds
+INTERVAL = 300_000
+
+
+class QueueDelay:
+    """Fed with the delay of each request when it is decided. `overloaded`: a queue stands."""
+
+    def __init__(self) -> None:
+        self.overloaded = False
+        self._above_since: int | None = None
+
+    def refuses(self, now: int, waited: int) -> bool:
+        """Takes in a request's delay, in microseconds; True where the request is to be refused."""
+        if waited < TARGET:
+            self._above_since = None
+            self.overloaded = False
+            return False
+        if self._above_since is None:
+            self._above_since = now
+        self.overloaded = self.overloaded or now - self._above_since >= INTERVAL
+        return self.overloaded
--- a/lotusstream/policy/state.py
+++ b/lotusstream/policy/state.py
@@ -74,31 +74,82 @@
 
 
 class Pool:
-    """Engines that are judged together: all of them, or those of cells."""
+    """Engines that are judged together: all of them, or those of cells.
 
-    def __init__(self, paces: Ring, usual: list[Any]) -> None:
+    `active`: ready ones with sends out or under pressure. Only these are looked at now and then; of all
+    others nothing is known that is not known of the pool, so they count by their cores."""
+
+    def __init__(self, paces: Ring, usual: list[Any], width: float) -> None:
         self.usual = usual  # what each profile's commands take there
-        self.ready: list[Backend] = []
         self.paces, self.out = paces, 0  # threads of this gateway there
+        self.cores = 0.0  # of those that are ready
+        self.width, self.adjusted_at = width, 0  # of engines of which nothing is known
         self.strained, self.calm, self.best, self.room, self.others = False, 1.0, math.inf, 0.0, 0.0
+        self.all_pressed, self.slice_per_core = False, 0.0  # engines of which nothing is known
+        self.active: dict[Backend, ActiveSums] = {}
+        self.changed: dict[Backend, None] = {}  # since they were last gauged
+        self.sums = ActiveSums(0.0, 0.0, 0.0)
+
+    @property
+    def floor(self) -> float:
+        """The best latency ratio that is believed."""
+        return max(1.0, min(self.best, self.calm))
+
+    def count(self, be: Backend) -> None:
+        """Takes in what was last found of an engine."""
+        found = ActiveSums(be.cores, be.cores if be.pressed else 0.0, be.slice)
+        self.sums = self.sums + found - self.active.get(be, NOTHING)
+        self.active[be] = found
+
+    def discount(self, be: Backend) -> None:
+        if (before := self.active.pop(be, None)) is not None:
+            self.sums = self.sums - before if self.active else NOTHING
+
+
+@dataclass(frozen=True, slots=True)
+class ActiveSums:
+    """Of one active engine or of all of them."""
+
+    cores: float
+    pressed_cores: float
+    slices: float
+
+    def __add__(self, other: ActiveSums) -> ActiveSums:
+        return ActiveSums(
+            self.cores + other.cores, self.pressed_cores + other.pressed_cores, self.slices + other.slices
+        )
+
+    def __sub__(self, other: ActiveSums) -> ActiveSums:
+        return ActiveSums(
+            self.cores - other.cores, self.pressed_cores - other.pressed_cores, self.slices - other.slices
+        )
+
+
+NOTHING = ActiveSums(0.0, 0.0, 0.0)
 
 
 class Backend:
-    """An engine as this gateway sees it."""
+    """An engine as this gateway sees it. Made when it is looked at, kept from the first send on."""
+
+    __slots__ = (
+        "_span", "adjusted_at", "aside_at", "aside_until", "cold_at", "cores", "credit", "entry", "failures",
+        "full_at", "gauged_at", "heard", "loads", "lost", "out", "overdue", "pace", "paces", "phase", "pool",
+        "pressed", "pushed", "slice", "stuck", "threads", "used_at", "warm", "width",
+    )  # fmt: skip
 
-    def __init__(
-        self, entry: api.Engine, pool: Pool, cores: float, paces: Ring, width: float, credit: float
-    ) -> None:
-        self.pool = pool
-        self.entry, self.cores, self.spare = entry, cores, cores  # spare: left by profiles bound to it
+    def __init__(self, entry: api.Engine, pool: Pool, cores: float, pace_span: int, credit: float) -> None:
+        self.pool, self._span = pool, pace_span
+        self.entry, self.cores = entry, cores
         self.threads, self.out = 0, dict[int, tuple[Command, Try]]()  # by command and send
         self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
         self.warm: dict[int, int] = {}  # groups last run here, oldest first
-        self.keeps: set[int] = set()  # groups that it is an agreed home to
-        self.paces, self.pace = paces, 1.0  # recent latency over what the work would take alone
-        self.overdue, self.pressed = 0.0, False  # the pace that sends still out already show
-        self.stuck = 0.0  # the same with those that stand behind loads: they hold memory
-        self.width, self.slice, self.credit = width, 0.0, credit  # slice: threads, as last bounded
+        self.paces: Ring | None = None  # recent latency over what the work would take alone
+        self.pace, self.pressed = pool.calm, pool.all_pressed
+        self.overdue = self.stuck = pool.calm  # the pace that sends still out already show; with those that
+        # stand behind loads: they hold memory
+        self.width, self.credit = pool.width, credit
+        self.slice = cores * pool.slice_per_core  # threads
+        self.gauged_at = self.adjusted_at = self.used_at = -1
         self.full_at: int | None = None
         self.heard, self.failures, self.aside_at = 0, 0, 0
         self.aside_until: int | None = None
@@ -109,24 +160,34 @@
         self.cold_at, self.phase = since, phase
         self.pushed: Ring | None = None  # work sent while cold
 
-    def begins(self, cmd: Command, a_try: Try, keep: int) -> None:
-        """A send goes out. `keep`: how many groups stay warm there."""
-        threads = cmd.profile.threads
+    def learn_pace(self, now: int, pace: float, buckets: int) -> None:
+        self.paces = self.paces or Ring(self._span, buckets)
+        self.paces.add(now, pace)
+        self.pool.changed[self] = None
+
+    def begins(self, cmd: Command, a_try: Try, keep: int) -> int | None:
+        """A send goes out. `keep`: how many groups stay warm there. Returns the group that no longer does."""
+        threads, cooled = cmd.profile.threads, None
         cmd.tries.append(a_try)
         self.heard = self.heard if self.out else a_try.at
         self.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
         self.threads += threads
         self.pool.room, self.pool.out = self.pool.room - threads, self.pool.out + threads
+        self.pool.changed[self] = None
+        self.used_at = a_try.at
         self.warm.pop(cmd.group, None)
         self.warm[cmd.group] = a_try.at
         if len(self.warm) > keep:
-            del self.warm[next(iter(self.warm))]
+            cooled = next(iter(self.warm))
+            del self.warm[cooled]
         if self.pushed is not None:
             self.pushed.add(a_try.at, cmd.weight)
+        return cooled
 
     def ends(self, send: int) -> tuple[Command, Try] | None:
         """A send has its outcome, if it is known here."""
         if (held := self.out.pop(send, None)) is not None:
             self.threads -= held[0].profile.threads
             self.pool.out -= held[0].profile.threads
+            self.pool.changed[self] = None
         return held
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -230,7 +230,8 @@
     decider.start()
     decider.post(notices.Notice(1, True, (notices.Listed(engine(1), ("127.0.0.1", 9)),), 0))
     await until(lambda: decider.listed)
-    assert [each._copies for each in decider._engines.values()] == [allowed]
+    actor = decider._endpoints.actor(engine(1).id)
+    assert actor is not None and actor._copies == allowed
     await supervisor.stop()
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -204,7 +204,8 @@
 
 def taken(desk: Any, seqid: int, timeout: int = 6_000_000) -> TakenCommand:
     fields = front.CommandFields(0, f"{seqid:016x}", timeout, None, None, None)
-    return TakenCommand(desk.client, seqid, fields, 3, b"SELECT", desk.clock.now() + timeout)
+    now = desk.clock.now()
+    return TakenCommand(desk.client, seqid, fields, 3, b"SELECT", now + timeout, now)
 
 
 async def test_a_module_that_raises_still_gives_each_command_an_answer(
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -103,7 +103,7 @@
     host.pass_time(100 * MS)
     assert not [action for action in host.log if isinstance(action, api.Cancel)]
     host.end(running, Outcome.ANSWERED, 0)
-    be = host.gateway.ready[0]
+    be = host.gateway.backends[engine(1).id]
     assert host.sends(held) and not host.gateway._cold(be)
 
 
@@ -116,11 +116,13 @@
     host.pass_time(100 * MS)
     assert api.Cancel(running, 0) not in host.log
     host.end(running, Outcome.ANSWERED, 0)
-    assert not host.gateway._cold(host.gateway.ready[0])
+    assert not host.gateway._cold(host.gateway.backends[engine(1).id])
 
 
 def test_the_trial_of_an_engine_set_aside_has_its_time_and_no_more(host: Host) -> None:
-    for be in host.gateway.backends.values():
+    for name in (1, 2, 3):
+        be = host.gateway._backend(engine(name).id)
+        host.gateway._keep(be)
         host.gateway._set_aside(be)
     host.pass_time(5 * S)
     trial = host.take(hint=1 * S)
