--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
 EngineId = bytes
@@ -47,6 +47,18 @@
 MAY_STILL_RUN = (Outcome.TIMED_OUT, Outcome.RESET, Outcome.CANCELLED)
 
 
+class Reason(Enum):
+    """Why a request gets no result."""
+
+    TOO_LATE = "too little time was left when it came"
+    OVERLOADED = "this gateway is overloaded"
+    REDUCED = "the level of reduced service does not admit it"
+    HOPELESS = "no endpoint would answer in time"
+    ATTEMPTS = "its attempts failed and no other is allowed"
+    WITHDRAWN = "withdrawn by what stands beside the module"
+    UNKNOWN = "not told"
+
+
 class ListKind(Enum):
     CHANGES = "changes"
     FULL = "full"
@@ -355,11 +367,13 @@
     command: int
     come_back_after: int
     reduced: bool = False  # since the level in force does not admit it
+    reason: Reason = field(default=Reason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
     command: int
+    reason: Reason = field(default=Reason.UNKNOWN, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -39,6 +39,7 @@
     behind: bool = False  # what it does is promised first
     ran: bool = False  # a send that has ended may have run
     answering: bool = False  # its answer is being held for repeats
+    last_outcome: Outcome | None = None  # of a send
 
 
 class Ring:
@@ -262,7 +263,7 @@
         actions += self._tell(api.Settled())
         self._carry_out(actions)
         self._arm()
-        self.supervisor.counters.peak("round, us", self._clock.now() - self._now)
+        self.supervisor.counters.observe("round, us", self._clock.now() - self._now)
 
     def _told(self, message: DeciderMessage) -> list[api.Action]:
         try:
@@ -301,7 +302,7 @@
         counters, profile = self.supervisor.counters, self._deployment.profiles[taken.fields.profile]
         counters.add(f"taken {profile}")
         waited = self._now - taken.sent_at
-        counters.peak("wait before the module, us", waited)
+        counters.observe("wait before the module, us", waited)
         if taken.over:
             counters.add("left before they were decided")
             return None
@@ -345,6 +346,12 @@
         """Guards the client against a module that forgot its command."""
         if (held := self._by_taken.get(taken)) is None:
             return None
+        self.supervisor.log.say(
+            "unanswered",
+            f"request {taken.fields.call} is overdue: {len(held.sends)} attempts, {len(held.out)} still out",
+            call=taken.fields.call,
+            attempts=len(held.sends),
+        )
         self._answer(held, front.encode_failure(taken.seqid, "not answered"), "failed")
         self.supervisor.invariants.hold("a command is answered in its client's time", False)
         return api.ClientGone(held.id)
@@ -355,6 +362,7 @@
         if not self.supervisor.invariants.hold("a send ends once", once) or held is None:
             return None
         held.out.discard(told.number)
+        held.last_outcome = told.outcome
         if (actor := held.sends[told.number]) is not None:
             actor.attempts_out, actor.used_at = actor.attempts_out - 1, self._now
         self.supervisor.counters.add(f"sends {told.outcome.name.lower()}")
@@ -399,8 +407,10 @@
     def _list(self, notice: notices.Notice) -> None:
         """Takes what a list says anew. A long one is told to the module in slices, a round each, so that
         answers and timers are not held up; what is withdrawn comes first."""
+        began = self._clock.now()
         differing = self._endpoints.differing(notice)
         self._endpoints.apply(differing)
+        self.supervisor.counters.observe("list applied, us", self._clock.now() - began)
         latest = {each.engine.id: each for each in (*self._list_slices, *differing)}
         withdrawn_first = sorted(latest.values(), key=lambda each: each.engine.state is api.State.READY)
         self._list_slices = deque(withdrawn_first)
@@ -507,9 +517,11 @@
                     self._set_priority(held, priority)
             case api.Shed(command, come_back_after):
                 if held := self._owed(command):
+                    self._note_refusal(held, action.reason)
                     self._answer(held, front.encode_shed(held.taken.seqid, come_back_after), "shed")
             case api.Fail(command):
                 if held := self._owed(command):
+                    self._note_refusal(held, action.reason)
                     self._answer(held, front.encode_failure(held.taken.seqid, "not answered"), "failed")
             case api.Wake(at, token):
                 heapq.heappush(self._timers, (at, token))
@@ -538,6 +550,9 @@
         ends_at = min(self._now + action.time_out, taken.ends_by) if action.time_out else taken.ends_by
         profile = self._deployment.profiles[taken.fields.profile]
         self.supervisor.counters.add(f"sent {profile}")
+        if number:
+            before = held.last_outcome.name.lower() if held.last_outcome is not None else "still out"
+            self.supervisor.counters.add(f"sent again after {before}")
         start = StartSend(
             command=held.id,
             number=number,
@@ -573,6 +588,21 @@
 
     # Endings
 
+    def _note_refusal(self, held: Held, reason: api.Reason) -> None:
+        """Why a request gets no result: counted, and said by its id."""
+        counters, taken = self.supervisor.counters, held.taken
+        counters.add(f"no result: {reason.value}")
+        age = (self._now - taken.sent_at) // 1000
+        self.supervisor.log.say(
+            "no result",
+            f"request {taken.fields.call} after {age} ms and {len(held.sends)} attempts: {reason.value}",
+            "info",
+            call=taken.fields.call,
+            age_ms=age,
+            attempts=len(held.sends),
+            reason=reason.name.lower(),
+        )
+
     def _answer(self, held: Held, frame: bytes, how: str) -> None:
         profile = self._deployment.profiles[held.taken.fields.profile]
         self.supervisor.counters.add(f"{how} {profile}")
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -214,7 +214,7 @@
             await asyncio.sleep(pause / US)
             stall = self._clock.now() - before - pause
             self._clock.lag = stall if stall > LAG_NOTICED else 0
-            self.supervisor.counters.peak("stall of the loop, us", stall)
+            self.supervisor.counters.observe("stall of the loop, us", stall)
             self.supervisor.counters.peak("connections to engines", self._budget.used)
             self._decider.look_after()
             self._share.look_after()
--- a/lotusstream/policy/gateway.py
+++ b/lotusstream/policy/gateway.py
@@ -12,7 +12,7 @@
 from collections import deque
 
 from lotusstream import interface as api
-from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, State
+from lotusstream.interface import Effect, Further, ListKind, Note, Outcome, Reason, State
 from lotusstream.lots import drawn
 from lotusstream.policy.affinity import Affinity, group_seed
 from lotusstream.policy.catalog import Catalog, Domain, EntryChange, gone
@@ -238,7 +238,7 @@
 
     def _drop(self, event: api.Dropped) -> None:
         if cmd := self.open.get(event.command):
-            self._give_up(cmd)
+            self._give_up(cmd, Reason.WITHDRAWN)
 
     def _recall(self, event: api.RanElsewhere) -> None:
         if cmd := self.open.get(event.command):
@@ -281,8 +281,12 @@
         if self.unprobed >= PROBE_EVERY and self.allowed.probes and self.given.tells_in_hand:
             self._probe()
         too_late = ends_by - self.now <= 2 * self.look_every  # nothing can be done
-        if self.queue_delay.refuses(self.now, event.waited) or too_late or not self._admitted(cmd):
-            self._give_up(cmd)
+        if self.queue_delay.refuses(self.now, event.waited):
+            self._give_up(cmd, Reason.OVERLOADED)
+        elif too_late:
+            self._give_up(cmd, Reason.TOO_LATE)
+        elif not self._admitted(cmd):
+            self._give_up(cmd, Reason.REDUCED)
 
     def _probe(self) -> None:
         every = self._domain(None, None)
@@ -305,7 +309,7 @@
         """The level of reduced service: what it does not admit and was not sent yet is answered at once."""
         self.reduced = None if event.full else event
         for cmd in [cmd for cmd in self.waiting.values() if not cmd.tries and not self._admitted(cmd)]:
-            self._give_up(cmd)
+            self._give_up(cmd, Reason.REDUCED)
 
     def _admitted(self, cmd: Command) -> bool:
         """By the command's lot: a lower part admits none that a higher one would not."""
@@ -369,7 +373,7 @@
         elif not cmd.out and self._may_send_again(cmd):
             self.waiting[cmd.id] = cmd
         elif not cmd.out:
-            self._give_up(cmd)
+            self._give_up(cmd, Reason.ATTEMPTS)
 
     def _judge(self, be: Backend, cmd: Command, a_try: Try, event: api.Ended) -> None:
         """An engine earns credit by its answers and is judged by failures in a row."""
@@ -443,7 +447,7 @@
             self.turns.pop(cmd.key, None)
             self.rests.pop(cmd.key, None)
 
-    def _give_up(self, cmd: Command) -> None:
+    def _give_up(self, cmd: Command, reason: Reason) -> None:
         """The final answer at once: a shed reply where a repeat is harmless, otherwise a failure."""
         advice = self.allowed.longest_advice
         if self.reduced:  # guards against all that was refused coming back as one
@@ -453,7 +457,9 @@
                    and self._remembered(cmd, advice))  # fmt: skip
         harmless = cmd.profile.effect is Effect.REPLAYABLE or dropped or not cmd.ran
         reduced = not cmd.tries and not self._admitted(cmd)
-        self.actions.append(api.Shed(cmd.id, advice, reduced) if harmless else api.Fail(cmd.id))
+        self.actions.append(
+            api.Shed(cmd.id, advice, reduced, reason) if harmless else api.Fail(cmd.id, reason)
+        )
         self._forget(cmd)
 
     def _remembered(self, cmd: Command, after: int) -> bool:
@@ -805,7 +811,7 @@
             useful = cmd.due if cmd.pool.strained else cmd.ends_by  # late answers pay where there is room
             hopeless = cmd.id in self.waiting and self.now + fresh > useful
             if hopeless or self.now + 2 * self.look_every >= cmd.ends_by:
-                self._give_up(cmd)
+                self._give_up(cmd, Reason.HOPELESS)
                 continue
             wait = self.look_every
             if cmd.out and cmd.id not in self.waiting:
