An overloaded gateway reads, refuses in time and goes on serving; rounds are bounded

Seen: with a core that decides a third of what comes, served fell, servers were told up to 0.45 s too much, the decider never gave the loop a turn while requests were left (Decider.run: an event that is set does not wait). Ruled out: the load generator (its own lag 2 ms, measured), descriptors. Change: a turn of the loop between rounds; choices a moment and requests a round bounded; a request's time counts from the earliest moment it may have come, over the turns that a read takes to reach its reader (Clock.earliest_arrival); a standing queue refuses.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import sys
 import time
 
-SUBJECTS = ("cells", "copies", "examine", "leases", "levels", "rollout")
+SUBJECTS = ("cells", "copies", "examine", "leases", "levels", "rollout", "scale")
 
 
 def main() -> int:
--- /dev/null
+++ b/lotusstream/lab/scale/planted.py
@@ -0,0 +1,100 @@
+"""The gateway with one defect, or on a slow core: `python -m lotusstream.lab.scale.planted NAME serve ...`.
+
+For tests that show what a checker catches, and for what a gateway does when its own core runs out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import runpy
+import sys
+import time
+from collections.abc import Callable
+from typing import Any
+
+from lotusstream.net import client, decider
+from lotusstream.policy import gateway
+from lotusstream.protocol import http
+
+DECISION_SECONDS = 0.004  # of the slow core, for each choice of a server
+DRAIN_DELAY = 3.0  # seconds
+DROPPED_EVERY = 20  # answers
+
+
+def slow_core() -> None:
+    """Each choice of a server takes some milliseconds of processor time."""
+    choose = gateway.Gateway._place
+
+    def slowly(self: gateway.Gateway, *given: Any) -> Any:
+        until = time.perf_counter() + DECISION_SECONDS
+        while time.perf_counter() < until:
+            pass
+        return choose(self, *given)
+
+    gateway.Gateway._place = slowly  # type: ignore[method-assign, assignment]
+
+
+def late_drain() -> None:
+    """What the list says of withdrawn servers is applied late."""
+    take_list = decider.Decider._list
+
+    def late(self: decider.Decider, notice: Any) -> None:
+        if self.listed:
+            asyncio.get_running_loop().call_later(DRAIN_DELAY, take_list, self, notice)
+        else:
+            take_list(self, notice)
+
+    decider.Decider._list = late  # type: ignore[method-assign]
+
+
+def dropped_answer() -> None:
+    """Some answers are not written."""
+    receive = client.ClientConnection.receive
+    count = 0
+
+    async def drop(self: client.ClientConnection, message: client.Reply) -> None:
+        nonlocal count
+        count += 1
+        if count % DROPPED_EVERY:
+            await receive(self, message)
+
+    client.ClientConnection.receive = drop  # type: ignore[method-assign]
+
+
+def ignored_departure() -> None:
+    """An attempt begins though its client has left, and what runs is not given up."""
+
+    def waits(self: client.TakenCommand) -> bool:
+        return True
+
+    client.TakenCommand.owed = waits  # type: ignore[method-assign]
+    client.ClientConnection._leave = lambda self, command: None  # type: ignore[method-assign]
+
+
+def long_deadline() -> None:
+    """Servers are told half a second more than the client has left."""
+    headers = http.start_headers
+
+    def longer(call: str, profile: str, limit: int, mark: str | None, priority: int | None) -> dict[str, str]:
+        return headers(call, profile, limit + 500_000, mark, priority)
+
+    http.start_headers = longer
+
+
+PLANTED: dict[str, Callable[[], None]] = {
+    "slow-core": slow_core,
+    "late-drain": late_drain,
+    "dropped-answer": dropped_answer,
+    "ignored-departure": ignored_departure,
+    "long-deadline": long_deadline,
+}
+
+
+def main() -> None:
+    PLANTED[sys.argv[1]]()
+    sys.argv = ["lotusstream", *sys.argv[2:]]
+    runpy.run_module("lotusstream", run_name="__main__")
+
+
+if __name__ == "__main__":
+    main()
--- a/lotusstream/lab/scale/rig.py
+++ b/lotusstream/lab/scale/rig.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import signal
 import sys
 import time
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 from lotusstream.lab.scale.servers import Server, ServerFleet
 
 READY_WITHIN = 30.0  # seconds
+LAST_LINE = "counters end"
 MS, S = 1_000, 1_000_000
 DRAIN_GRACE = 2.0  # seconds
 
@@ -36,7 +38,7 @@
     gateways: int = 25
     seed: int = 1
     leaves: float = 0.0
-    share_of_core: float = 1.0
+    planted: str | None = None  # of lab/scale/planted.py
 
 
 @dataclass(slots=True)
@@ -127,6 +129,18 @@
         self.board.die()
         self.fleet.stop()
 
+    async def print_counters(self) -> None:
+        """Asks the gateway for its counters, by signal, and takes them into `usage`."""
+        assert self.program is not None
+        before = self.lines.count(LAST_LINE)
+        self.program.send_signal(signal.SIGUSR1)
+        async with asyncio.timeout(READY_WITHIN):
+            while self.lines.count(LAST_LINE) == before:
+                await asyncio.sleep(0.02)
+        for line in self.lines:
+            if found := re.fullmatch(r"(.+?) ([0-9.e+]+)( at most)?", line):
+                self.usage.counters[found[1]] = float(found[2])
+
     def measure(self) -> Usage:
         """What the gateway has needed since its start, by the system's account."""
         assert self.program is not None
@@ -200,9 +214,11 @@
     async def _start_gateway(self) -> None:
         path = self._folder / "config.json"
         path.write_text(json.dumps(self._configuration()))
+        planted = self.plan.planted
+        program = ["lotusstream"] if planted is None else ["lotusstream.lab.scale.planted", planted]
         self.program = await asyncio.create_subprocess_exec(
             sys.executable,
-            *("-O", "-m", "lotusstream", "serve", "--config", str(path)),
+            *("-O", "-m", *program, "serve", "--config", str(path)),
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
         )
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -343,7 +343,7 @@
             self.post(Reply(front.encode_fault("process", message.seqid, kind, str(error))))
             return
         tenant = self._tenant_of(message.fields, fields.mark, statement) if self._tenant_of else None
-        sent_at = at - self._clock.lag
+        sent_at = min(at, self._clock.earliest_arrival())
         ends_by = sent_at + fields.time_left
         command = TakenCommand(self, message.seqid, fields, group, message.body, ends_by, sent_at, tenant)
         self.open[message.seqid] = command
--- a/lotusstream/net/clock.py
+++ b/lotusstream/net/clock.py
@@ -4,13 +4,31 @@
 
 import time
 
+WATCH_PAUSE = 50_000  # microseconds between two looks at the loop
+LAG_NOTICED = 20_000  # a turn of the loop that counts against the time of the requests behind it
+
 
 class Clock:
-    """`lag`: how long what is read now may have waited for it, since the loop was busy; microseconds."""
+    """Also knows how busy the loop is, as whoever watches it tells."""
 
     def __init__(self) -> None:
         self._ahead = time.time_ns() - time.monotonic_ns()
-        self.lag = 0
+        self._watched_at: int | None = None
+        self._previous_turn: int | None = None
+
+    def watched(self, previous_turn: int | None) -> None:
+        """The loop's watch has its turn. `previous_turn`: when its turn before was, where turns are long."""
+        self._watched_at, self._previous_turn = self.now(), previous_turn
+
+    def earliest_arrival(self) -> int:
+        """As early as what is read now can have come: it waited for the end of a turn of the loop, and for
+        those before it in this one."""
+        now = self.now()
+        if self._previous_turn is not None:
+            return self._previous_turn
+        if self._watched_at is not None and now - self._watched_at > WATCH_PAUSE + LAG_NOTICED:
+            return self._watched_at
+        return now
 
     def now(self) -> int:
         return (time.monotonic_ns() + self._ahead) // 1000
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -22,7 +22,9 @@
 from lotusstream.policy import Gateway
 from lotusstream.protocol import front, notices
 
-ROUND_BUDGET = 4_000  # microseconds of new requests in one round
+ROUND_BUDGET = 10_000  # microseconds that the decisions on new requests may take in one round
+LONGEST_QUEUED = 100_000  # microseconds after which a request is told whatever fits: it may be refused
+FIRST_REQUESTS = 8  # in a round, until it is known what one takes
 LIST_SLICE = 256  # entries of a list that the module is told of in one round
 
 
@@ -187,13 +189,14 @@
             self.wake()
         return message
 
-    def take_request(self) -> TakenCommand | None:
-        if not self._requests:
-            return None
-        request = self._requests.popleft()
+    @property
+    def first_request(self) -> TakenCommand | None:
+        return self._requests[0] if self._requests else None
+
+    def drop_first_request(self) -> None:
+        self._requests.popleft()
         if not self._requests and not len(self):
             self.rest()
-        return request
 
 
 class Decider(Actor[DeciderMessage]):
@@ -220,6 +223,7 @@
         self._module = self._new_module()
         self._stopping: api.Stopping | None = None
         self._now = self._last_round = 0
+        self._request_cost, self._most_requests = 0.0, FIRST_REQUESTS
         self._ids = 0
         self._held: dict[int, Held] = {}
         self._by_taken: dict[TakenCommand, Held] = {}
@@ -236,8 +240,7 @@
         while True:
             await self.mailbox.wait()
             pause = self._last_round + self._started.period - self._clock.now()
-            if pause > 0:
-                await asyncio.sleep(pause / US)
+            await asyncio.sleep(max(0, pause) / US)  # a turn of the loop at least: sockets are read
             self._round()
 
     # What is told
@@ -252,10 +255,13 @@
             actions += self._told(message)
         if (news := self._next_slice()) is not None:
             actions += self._tell(news)
-        while (request := self.mailbox.take_request()) is not None:
-            actions += self._told(request)
-            if self._clock.now() - self._now > ROUND_BUDGET:
+        taken = 0
+        while (first := self.mailbox.first_request) is not None:
+            if taken >= self._most_requests and self._now - first.sent_at < LONGEST_QUEUED:
                 break
+            self.mailbox.drop_first_request()
+            actions += self._told(first)
+            taken += 1
         if self._list_slices:
             self.mailbox.wake()
         while self._timers and self._timers[0][0] <= self._now:
@@ -263,7 +269,15 @@
         actions += self._tell(api.Settled())
         self._carry_out(actions)
         self._arm()
-        self.supervisor.counters.observe("round, us", self._clock.now() - self._now)
+        spent = self._clock.now() - self._now
+        self.supervisor.counters.observe("round, us", spent)
+        self._learn_cost(taken, spent)
+
+    def _learn_cost(self, taken: int, spent: int) -> None:
+        """How many new requests fit a round, by what one has taken lately."""
+        if taken:
+            self._request_cost += (spent / taken - self._request_cost) / 8
+            self._most_requests = max(1, int(ROUND_BUDGET / max(self._request_cost, 1.0)))
 
     def _told(self, message: DeciderMessage) -> list[api.Action]:
         try:
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -8,6 +8,7 @@
 import select
 import socket
 import sys
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Any
@@ -16,7 +17,7 @@
 from lotusstream.deployment import Deployment, UnusableSettings, read_settings
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.client import ClientConnection, ClientShare, Unread
-from lotusstream.net.clock import Clock
+from lotusstream.net.clock import LAG_NOTICED, WATCH_PAUSE, Clock
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider
 from lotusstream.net.engine_list import EngineList, Follow
@@ -31,7 +32,7 @@
 COME_ON = 600 * MS  # and until then commands still come
 PAUSE = 0.01  # seconds
 LONGEST_WAIT = 3000 * MS  # that much of the longest client timeout is left after that
-LAG_NOTICED = 20 * MS  # a turn of the loop that counts against the time of the requests behind it
+READ_TURNS = 3  # of the loop, from when a byte can be read until whoever waits for it goes on
 OWN = 16  # descriptors: the program's files, the loop's, the listener and the board
 
 
@@ -207,17 +208,25 @@
             sock.close()
 
     async def _watch(self) -> None:
-        """The loop's longest stall, and what is overdue or idle."""
-        pause = 50 * MS
+        """The loop's longest stall, and what is overdue or idle. While turns of the loop are long each is
+        marked: what is read at the end of one may have waited for all of it."""
+        looked_at = self._clock.now()
+        turns = deque([looked_at] * READ_TURNS, maxlen=READ_TURNS)
+        busy = False
         while True:
-            before = self._clock.now()
+            pause = 0 if busy else WATCH_PAUSE
             await asyncio.sleep(pause / US)
-            stall = self._clock.now() - before - pause
-            self._clock.lag = stall if stall > LAG_NOTICED else 0
+            now = self._clock.now()
+            stall = now - turns[-1] - pause
+            busy = stall > LAG_NOTICED or (busy and now - turns[0] > LAG_NOTICED)
+            self._clock.watched(turns[0] if busy else None)
+            turns.append(now)
             self.supervisor.counters.observe("stall of the loop, us", stall)
-            self.supervisor.counters.peak("connections to engines", self._budget.used)
-            self._decider.look_after()
-            self._share.look_after()
+            if now - looked_at >= WATCH_PAUSE:
+                looked_at = now
+                self.supervisor.counters.peak("connections to engines", self._budget.used)
+                self._decider.look_after()
+                self._share.look_after()
 
     async def drain(self) -> None:
         """A planned stop: takes what still comes, and returns once all is read and answered or time is up."""
--- a/lotusstream/policy/gateway.py
+++ b/lotusstream/policy/gateway.py
@@ -31,6 +31,7 @@
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
 LONGEST_WORD = 20  # shortest targets for which another's word may keep an engine aside
+PLACED_AT_ONCE = 24  # choices of an engine in one moment
 FEW = 40  # engines: a choice looks at all of no more than these
 SAMPLED, WARM_SAMPLED, WIDENED = 10, 8, 48  # looked at of more: any, warm ones, and where none of them fits
 KEPT, KEPT_IDLE, KEPT_FAILED = 128, 8, 64  # engines known; shortest targets without a send after which one of
@@ -752,10 +753,12 @@
         for pool in self.pools.values():
             self._gauge_pool(pool)
         stuck = set[tuple[int, int | None]]()  # profiles with no place left; within a release none comes free
-        while ready:
+        placed = 0
+        while ready and placed < PLACED_AT_ONCE:  # the rest at the next moment: what has ended comes before
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Backend] | None = None
             for at, cmd in enumerate(sample):
+                placed += 1
                 place = self._place(cmd) if cmd.tries or (cmd.kind, cmd.cell) not in stuck else None
                 if place is None and not cmd.tries:
                     stuck.add((cmd.kind, cmd.cell))
@@ -766,6 +769,8 @@
             if picked:  # otherwise held; later ones may still have room elsewhere
                 self._send(sample.pop(picked[1]), picked[2])
                 ready.extendleft(reversed(sample))
+        if ready:
+            self._plan(self.now)
         if self.waiting:
             self._plan(self.now + self.look_every)
 
