A server that was sent to is looked at though no further request comes

Ruled out: queue delay, descriptors, the lag taken off. At fault: _look went over the active engines only, and one becomes active when a later choice gauges it; with few requests a silent engine was found late. Test fails without it.

--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -20,7 +20,8 @@
 
 from lotusstream import interface as api
 from lotusstream.lab.scale.checker import History, broken_rules, count_by_rule
-from lotusstream.lab.scale.rig import Plan, Rig, Usage
+from lotusstream.lab.scale.process import Usage
+from lotusstream.lab.scale.rig import Plan, Rig
 from lotusstream.policy import Gateway
 
 MS, S = 1_000, 1_000_000
@@ -135,7 +136,7 @@
             release = asyncio.create_task(_release(rig, servers // 7))
             history: History = await rig.run()
             await release
-            await rig.print_counters()
+            await rig.gateway.ask_counters()
             usage = rig.measure()
             served = sum(outcome.served for outcome in history.outcomes)
             turn = usage.counters.get("stall of the loop, us", 0.0)
--- a/lotusstream/lab/scale/load.py
+++ b/lotusstream/lab/scale/load.py
@@ -26,6 +26,8 @@
     left_at: float | None = None
     answer: str | None = None
     answered_at: float | None = None
+    gateway: str = ""
+    excused: bool = False  # the gateway did not take it, or was killed outright
 
     @property
     def in_time(self) -> bool:
--- /dev/null
+++ b/lotusstream/lab/scale/process.py
@@ -0,0 +1,136 @@
+"""One gateway process, started by its command line on loopback: signals, log lines, and what it needs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+READY_WITHIN = 30.0  # seconds
+LAST_LINE = "counters end"
+PROGRAM = ("lotusstream",)
+
+
+class NotStarted(Exception):
+    """The gateway ended before it listened; the text holds its lines."""
+
+
+@dataclass(slots=True)
+class Usage:
+    """What the gateway has needed. Memory in MB."""
+
+    cpu_seconds: float = 0.0
+    peak_memory: float = 0.0
+    descriptors: int = 0
+    connections: int = 0
+    list_bytes: int = 0
+    counters: dict[str, float] = field(default_factory=dict)
+
+
+class GatewayProcess:
+    """`program`: the module to run, and its words before `serve`."""
+
+    def __init__(self, folder: Path, program: Sequence[str] = PROGRAM) -> None:
+        self.path = folder / "config.json"
+        self.lines: list[str] = []
+        self.usage = Usage()
+        self.port = 0
+        self._program = program
+        self._process: asyncio.subprocess.Process | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def status(self) -> int | None:
+        return self._process.returncode if self._process is not None else None
+
+    def configure(self, configuration: Mapping[str, object]) -> None:
+        self.path.write_text(json.dumps(configuration))
+
+    async def start(self) -> None:
+        """Raises NotStarted, or TimeoutError where it does not listen in time."""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *("-O", "-m", *self._program, "serve", "--config", str(self.path)),
+            stderr=asyncio.subprocess.PIPE,
+            limit=1 << 20,
+        )
+        async with asyncio.timeout(READY_WITHIN):
+            self.port = await self._listening()
+        self._tasks = [asyncio.create_task(self._read_lines()), asyncio.create_task(self._sample())]
+
+    async def _listening(self) -> int:
+        assert self._process is not None and self._process.stderr is not None
+        while line := (await self._process.stderr.readline()).decode().rstrip():
+            self.lines.append(line)
+            if found := re.search(r"listening on 127\.0\.0\.1:(\d+)", line):
+                return int(found[1])
+        raise NotStarted("\n".join(self.lines))
+
+    async def _read_lines(self) -> None:
+        assert self._process is not None and self._process.stderr is not None
+        async for line in self._process.stderr:
+            self.lines.append(line.decode().rstrip())
+
+    async def _sample(self) -> None:
+        """The most descriptors that it held."""
+        assert self._process is not None
+        while True:
+            try:
+                held = len(os.listdir(f"/proc/{self._process.pid}/fd"))
+            except OSError:
+                return
+            self.usage.descriptors = max(self.usage.descriptors, held)
+            await asyncio.sleep(0.1)
+
+    def signal(self, number: int) -> None:
+        if self.running and self._process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def ended(self, within: float) -> bool:
+        """Whether it ends by itself in that many seconds."""
+        assert self._process is not None
+        try:
+            await asyncio.wait_for(self._process.wait(), within)
+        except TimeoutError:
+            return False
+        return True
+
+    async def kill(self) -> None:
+        if self._process is not None:
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+        for task in self._tasks:
+            task.cancel()
+
+    async def ask_counters(self) -> None:
+        """Takes its counters, printed on a signal, into `usage`."""
+        before = self.lines.count(LAST_LINE)
+        self.signal(signal.SIGUSR1)
+        async with asyncio.timeout(READY_WITHIN):
+            while self.lines.count(LAST_LINE) == before:
+                await asyncio.sleep(0.02)
+        for line in self.lines:
+            if found := re.fullmatch(r"(.+?) ([0-9.e+]+)( at most)?", line):
+                self.usage.counters[found[1]] = float(found[2])
+
+    def measure(self) -> Usage:
+        """By the system's account, since its start."""
+        assert self._process is not None
+        ticks = Path(f"/proc/{self._process.pid}/stat").read_text().rpartition(")")[2].split()
+        self.usage.cpu_seconds = (int(ticks[11]) + int(ticks[12])) / os.sysconf("SC_CLK_TCK")
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        self.usage.peak_memory = int(found[1]) / 1024 if found else 0.0
+        return self.usage
--- a/lotusstream/lab/scale/rig.py
+++ b/lotusstream/lab/scale/rig.py
@@ -2,24 +2,17 @@
 
 from __future__ import annotations
 
-import asyncio
-import json
-import os
-import re
-import signal
-import sys
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from lotusstream.lab.parties import StandInBoard
 from lotusstream.lab.scale.checker import History
 from lotusstream.lab.scale.load import Load
+from lotusstream.lab.scale.process import PROGRAM, GatewayProcess, Usage
 from lotusstream.lab.scale.servers import Server, ServerFleet
 
-READY_WITHIN = 30.0  # seconds
-LAST_LINE = "counters end"
 MS, S = 1_000, 1_000_000
 DRAIN_GRACE = 2.0  # seconds
 
@@ -41,18 +34,6 @@
     planted: str | None = None  # of lab/scale/planted.py
 
 
-@dataclass(slots=True)
-class Usage:
-    """What the gateway has needed. Memory in MB."""
-
-    cpu_seconds: float = 0.0
-    peak_memory: float = 0.0
-    descriptors: int = 0
-    connections: int = 0
-    list_bytes: int = 0
-    counters: dict[str, float] = field(default_factory=dict)
-
-
 class CountingBoard(StandInBoard):
     """Discovery that counts the bytes of lists that it has told."""
 
@@ -70,22 +51,23 @@
     """Use: `start`, `run` or a schedule of one's own, `stop`."""
 
     def __init__(self, plan: Plan, folder: Path) -> None:
-        self.plan, self._folder = plan, folder
+        self.plan = plan
         self.fleet = ServerFleet(plan.cores, plan.work)
         self.board = CountingBoard()
         self.withdrawn: dict[str, float] = {}
-        self.lines: list[str] = []
-        self.program: asyncio.subprocess.Process | None = None
+        planted = plan.planted
+        program = PROGRAM if planted is None else ("lotusstream.lab.scale.planted", planted)
+        self.gateway = GatewayProcess(folder, program)
         self.load: Load | None = None
-        self._reading: asyncio.Task[None] | None = None
-        self._sampling: asyncio.Task[None] | None = None
-        self.usage = Usage()
 
     async def start(self) -> None:
         await self.board.start()
         servers = await self.fleet.add(self.plan.servers)
         self.board.tell(*(server.entry() for server in servers), whole=True)
-        await self._start_gateway()
+        self.gateway.configure(self._configuration())
+        await self.gateway.start()
+        plan = self.plan
+        self.load = Load(self.gateway.port, plan.rate, plan.deadline, plan.seed, plan.leaves)
 
     async def run(self) -> History:
         """The plan's traffic, and what was seen of it."""
@@ -118,40 +100,17 @@
         self.board.tell(*(server.entry() for server in servers))
 
     async def stop(self) -> None:
-        for task in (self._sampling, self._reading):
-            if task is not None:
-                task.cancel()
         if self.load is not None:
             self.load.stop()
-        if self.program is not None and self.program.returncode is None:
-            self.program.kill()
-            await self.program.wait()
+        await self.gateway.kill()
         self.board.die()
         self.fleet.stop()
 
-    async def print_counters(self) -> None:
-        """Asks the gateway for its counters, by signal, and takes them into `usage`."""
-        assert self.program is not None
-        before = self.lines.count(LAST_LINE)
-        self.program.send_signal(signal.SIGUSR1)
-        async with asyncio.timeout(READY_WITHIN):
-            while self.lines.count(LAST_LINE) == before:
-                await asyncio.sleep(0.02)
-        for line in self.lines:
-            if found := re.fullmatch(r"(.+?) ([0-9.e+]+)( at most)?", line):
-                self.usage.counters[found[1]] = float(found[2])
-
     def measure(self) -> Usage:
-        """What the gateway has needed since its start, by the system's account."""
-        assert self.program is not None
-        ticks = Path(f"/proc/{self.program.pid}/stat").read_text().rpartition(")")[2].split()
-        self.usage.cpu_seconds = (int(ticks[11]) + int(ticks[12])) / os.sysconf("SC_CLK_TCK")
-        status = Path(f"/proc/{self.program.pid}/status").read_text()
-        found = re.search(r"VmHWM:\s+(\d+) kB", status)
-        self.usage.peak_memory = int(found[1]) / 1024 if found else 0.0
-        self.usage.connections = self.fleet.connections
-        self.usage.list_bytes = self.board.bytes_told
-        return self.usage
+        usage = self.gateway.measure()
+        usage.connections = self.fleet.connections
+        usage.list_bytes = self.board.bytes_told
+        return usage
 
     def _configuration(self) -> dict[str, object]:
         def profile(name: str, effect: str, target: float) -> dict[str, object]:
@@ -210,45 +169,3 @@
             "known": self.board.known(),
             "settings": settings,
         }
-
-    async def _start_gateway(self) -> None:
-        path = self._folder / "config.json"
-        path.write_text(json.dumps(self._configuration()))
-        planted = self.plan.planted
-        program = ["lotusstream"] if planted is None else ["lotusstream.lab.scale.planted", planted]
-        self.program = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *("-O", "-m", *program, "serve", "--config", str(path)),
-            stderr=asyncio.subprocess.PIPE,
-            limit=1 << 20,
-        )
-        async with asyncio.timeout(READY_WITHIN):
-            port = await self._port()
-        self._reading = asyncio.create_task(self._read_lines())
-        self._sampling = asyncio.create_task(self._sample())
-        plan = self.plan
-        self.load = Load(port, plan.rate, plan.deadline, plan.seed, plan.leaves)
-
-    async def _port(self) -> int:
-        assert self.program is not None and self.program.stderr is not None
-        while line := (await self.program.stderr.readline()).decode().rstrip():
-            self.lines.append(line)
-            if found := re.search(r"listening on 127\.0\.0\.1:(\d+)", line):
-                return int(found[1])
-        raise RuntimeError("the gateway did not start:\n" + "\n".join(self.lines))
-
-    async def _read_lines(self) -> None:
-        assert self.program is not None and self.program.stderr is not None
-        async for line in self.program.stderr:
-            self.lines.append(line.decode().rstrip())
-
-    async def _sample(self) -> None:
-        """The most descriptors that the gateway held."""
-        assert self.program is not None
-        while True:
-            try:
-                held = len(os.listdir(f"/proc/{self.program.pid}/fd"))
-            except OSError:
-                return
-            self.usage.descriptors = max(self.usage.descriptors, held)
-            await asyncio.sleep(0.1)
--- a/lotusstream/lab/scale/servers.py
+++ b/lotusstream/lab/scale/servers.py
@@ -15,15 +15,16 @@
 ROWS = b"a\tb\tc\n"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Attempt:
-    """A request that has come to a server. Times are Unix seconds."""
+    """A request that has come to a server. Times are Unix seconds. `ran`: not refused as never run."""
 
     server: str
     call: str
     profile: str
     at: float
     time_out: float
+    ran: bool = True
 
 
 @dataclass(slots=True)
@@ -42,6 +43,7 @@
         self.uid, self.address, self.port = uid, address, port
         self.state, self.boot_ms = "ready", 0
         self.silent = False  # takes requests and answers nothing
+        self.full = False  # refuses all as never run
         self._cores, self._work, self._fleet = cores, work, fleet
         self._queries: dict[str, Query] = {}
         self._running = 0
@@ -60,6 +62,15 @@
         for transport in list(self._transports):
             transport.abort()
 
+    def reset_connections(self) -> None:
+        """As a path that loses its state: what runs goes on."""
+        for transport in list(self._transports):
+            transport.abort()
+
+    def close_connections(self) -> None:
+        for transport in list(self._transports):
+            transport.close()
+
     def entry(self) -> dict[str, object]:
         """Its line in the list of servers."""
         return {
@@ -89,6 +100,10 @@
             return
         if method == "POST":
             call = self._note_attempt(head, began)
+            if self.full:
+                self._fleet.attempts[-1].ran = False
+                answer(http_answer(503, X_Unrun=1))
+                return
             self._begin(call)
         elif method in ("DELETE", "PUT"):
             answer(http_answer(204))
--- a/lotusstream/policy/gateway.py
+++ b/lotusstream/policy/gateway.py
@@ -31,6 +31,7 @@
 PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
 PATIENCE, RUNAWAY = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
 LONGEST_WORD = 20  # shortest targets for which another's word may keep an engine aside
+LONGEST_TOLD_AFTER = 60_000_000  # microseconds after a start that a list may tell it
 PLACED_AT_ONCE = 24  # choices of an engine in one moment
 FEW = 40  # engines: a choice looks at all of no more than these
 SAMPLED, WARM_SAMPLED, WIDENED = 10, 8, 48  # looked at of more: any, warm ones, and where none of them fits
@@ -78,6 +79,7 @@
         self.cells: dict[int, api.Confined] = {}
         self.pool_of: dict[api.EngineId, int] = {}
         self.homes: dict[object, dict[api.EngineId, None]] = {}
+        self.cold_since: dict[api.EngineId, int] = {}  # of starts that the clock can't have right
         self.ran_at: dict[int, dict[api.EngineId, None]] = {}  # engines that ran a group lately
         self.spare: dict[tuple[int, int], float] = {}  # by zone and kind: the part left by bound profiles
         self.draws, self.stop_by = 0, NEVER
@@ -125,14 +127,29 @@
         if event.kind is ListKind.FAILED:
             self.actions.append(api.Subscribe(True))
             return
+        at_start = not self.catalog.entries
         changes = self.catalog.apply(event.engines, whole=event.kind is not ListKind.CHANGES)
         for change in changes:
+            self._note_start(change, at_start)
             self._follow(change)
         self._share_out()
 
     def _cores(self, kind: int) -> float:
         return self.given.kinds[kind].cores if kind < len(self.given.kinds) else 1.0
 
+    def _note_start(self, change: EntryChange, at_start: bool) -> None:
+        """Guards slow start against a wall clock that is wrong: a start that is listed as news, and that this
+        clock puts in the future or long ago, counts from when it was told."""
+        entry = change.after
+        if entry is not None and change.before is not None and not change.restarted:
+            return
+        self.cold_since.pop(change.id, None)
+        if entry is None or not entry.started:
+            return
+        age = self.now - entry.started
+        if age < 0 or (age > LONGEST_TOLD_AFTER and not at_start):
+            self.cold_since[change.id] = self.now
+
     def _follow(self, change: EntryChange) -> None:
         """What a change of the list means for the pool and for what is known of the engine."""
         pool = self._pool_of(change.id)
@@ -187,7 +204,8 @@
         pool = self._pool_of(entry.id)
         made = Backend(entry, pool, self._cores(entry.kind), 8 * self.shortest, CREDIT_START)
         if entry.started:
-            made.chill(entry.started, drawn(entry.id, self.seed ^ entry.started & 0xFFFFFFFF))
+            phase = drawn(entry.id, self.seed ^ entry.started & 0xFFFFFFFF)
+            made.chill(self.cold_since.get(entry.id, entry.started), phase)
         return made
 
     def _backend(self, engine: api.EngineId) -> Backend:
@@ -808,9 +826,10 @@
             if pool.paces.total(self.now)[1] >= ENOUGH:
                 pool.best = min(pool.calm, pool.best * 1.001)
             self._widen(pool)
-            for be in list(pool.active):
-                self._adjust(be)
-                pool.changed[be] = None
+            for be in {**pool.active, **pool.changed}:  # also what was sent to since
+                if be.entry.state is State.READY:
+                    self._adjust(be)
+                    pool.changed[be] = None
         for cmd in list(self.open.values()):
             fresh = cmd.work / cmd.profile.threads * (cmd.pool.calm if cmd.pool.strained else 1.0)
             useful = cmd.due if cmd.pool.strained else cmd.ends_by  # late answers pay where there is room
--- a/tests/fleet/test_cold.py
+++ b/tests/fleet/test_cold.py
@@ -3,8 +3,11 @@
 import math
 from collections import Counter
 
+import pytest
 from conftest import Host, S, engine
 
+from lotusstream import interface as api
+
 
 def test_many_gateways_give_cold_engines_their_part() -> None:
     """All others were taken to crowd a cold engine as they do a warm one: each gateway kept off, and so none
@@ -84,3 +87,19 @@
             for host in after:
                 host.pass_time(S // 10)
         assert in_a_window <= falls(0)
+
+
+@pytest.mark.parametrize("clock_off", [-3600 * S, 0, 3600 * S])
+def test_a_wall_clock_that_is_wrong_by_an_hour_forgets_no_slow_start(clock_off: int) -> None:
+    """An engine that a list tells as just started looked warm where the clock ran an hour ahead, and cold for
+    an hour where it ran behind."""
+    host = Host(gateways=30)
+    host.now += 2 * 3600 * S
+    host.engines(engine(2))
+    true_now = host.now - clock_off
+    host.engines(engine(1, started=true_now - S), kind=api.ListKind.CHANGES)
+    be = host.gateway._backend(engine(1).id)
+    assert host.gateway._cold(be)
+    host.pass_time(16 * S)
+    host.tell()
+    assert not host.gateway._cold(host.gateway._backend(engine(1).id))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -532,3 +532,14 @@
         host.tell(api.Hearsay(lost, False))
     until = belief(host, lost).aside_until or 0
     assert alone + S < until <= began + 21 * S < host.now  # a trial is due, whatever is heard
+
+
+def test_a_silent_engine_is_found_though_no_further_command_comes() -> None:
+    """What is looked at now and then was only what a later command's choice had gauged."""
+    host = Host(note_every=100 * MS)
+    host.engines(engine(1), engine(2))
+    command = host.take()
+    silent = host.sends(command)[0].engine
+    host.pass_time(5 * S)
+    assert host.gateway.backends[silent].aside_until is not None
+    assert api.Cancel(command, 0) in host.log
