--- a/lotusstream/lab/scale/planted.py
+++ b/lotusstream/lab/scale/planted.py
@@ -12,7 +12,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from lotusstream.net import client, decider
+from lotusstream import interface as api
+from lotusstream.net import client, decider, endpoints
+from lotusstream.net import gateway as server
 from lotusstream.policy import gateway
 from lotusstream.protocol import http
 
@@ -81,12 +83,52 @@
     http.start_headers = longer
 
 
+def unsafe_retry() -> None:
+    """A request that must not be repeated is sent again as any other."""
+
+    def may_send_again(self: gateway.Gateway, cmd: Any) -> bool:
+        return len(cmd.tries) < self.allowed.sends and self.now < cmd.ends_by
+
+    gateway.Gateway._may_send_again = may_send_again  # type: ignore[method-assign]
+
+
+def whole_list_without_drains() -> None:
+    """What a whole list withdraws is passed over."""
+    differing = endpoints.Endpoints.differing
+
+    def only_ready(self: endpoints.Endpoints, notice: Any) -> list[Any]:
+        found = differing(self, notice)
+        if not notice.whole:
+            return found
+        return [each for each in found if each.engine.state is api.State.READY]
+
+    endpoints.Endpoints.differing = only_ready  # type: ignore[method-assign]
+
+
+def early_exit() -> None:
+    """A planned stop ends at once, whatever is open."""
+
+    async def drain(self: server.GatewayServer) -> None:
+        await asyncio.sleep(0.02)
+
+    server.GatewayServer.drain = drain  # type: ignore[method-assign]
+
+
+def no_slow_start() -> None:
+    """A server that has just started is sent what any other is."""
+    gateway.Gateway._bears = lambda self, be, weight: True  # type: ignore[method-assign]
+
+
 PLANTED: dict[str, Callable[[], None]] = {
     "slow-core": slow_core,
     "late-drain": late_drain,
     "dropped-answer": dropped_answer,
     "ignored-departure": ignored_departure,
     "long-deadline": long_deadline,
+    "unsafe-retry": unsafe_retry,
+    "whole-list-without-drains": whole_list_without_drains,
+    "early-exit": early_exit,
+    "no-slow-start": no_slow_start,
 }
 
 
--- a/lotusstream/lab/soak/customers.py
+++ b/lotusstream/lab/soak/customers.py
@@ -98,7 +98,8 @@
         group = self._random.randrange(GROUPS)
         mark = {"dedupe": outcome.call * 2}
         self._open[client] += 1
-        seqid = client.ask(outcome.profile, f"SELECT a FROM sales_{group}.t", call=outcome.call, ttl=ttl, **mark)
+        statement = f"SELECT a FROM sales_{group}.t"
+        seqid = client.ask(outcome.profile, statement, call=outcome.call, ttl=ttl, **mark)
         patience = outcome.time_out / 3 if leaves else outcome.time_out + 2 * ANSWER_SLACK
         answer = asyncio.create_task(client.answer(seqid))
         ended = asyncio.create_task(client.closed.wait())
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -115,16 +115,22 @@
         except OSError:
             return False
 
-    async def call(self, request: bytes, patience: int) -> http.Answer:
+    async def call(self, request: bytes, patience: int, longest: int = 0) -> http.Answer:
+        """`patience`: until the answer is whole or, where a `longest` is given, until it goes on, in
+        microseconds.
+        A long answer over a slow path would be asked for again and again otherwise."""
         loop = asyncio.get_running_loop()
         reader = http.AnswerReader(self._longest)
+        latest = loop.time() + longest / US
         try:
-            async with asyncio.timeout(patience / US):
+            async with asyncio.timeout(patience / US) as limit:
                 await loop.sock_sendall(self._sock, request)
                 while reader.answer is None:
                     count = await loop.sock_recv_into(self._sock, self._buffer.space())
                     if not count:
                         raise CallBroken("closed before the answer was whole")
+                    if longest:
+                        limit.reschedule(min(latest, loop.time() + patience / US))
                     self._buffer.filled(count)
                     data = self._buffer.data()
                     self._buffer.use(len(data))
@@ -181,17 +187,21 @@
             self._endpoint, self.connect_timeout, self._budget, self._longest, ends_things=ends_things
         )
 
-    async def call(self, connection: Connection, request: bytes, patience: int) -> http.Answer:
+    async def call(
+        self, connection: Connection, request: bytes, patience: int, longest: int = 0
+    ) -> http.Answer:
         """One call on a connection that was got from here; afterwards it is idle or closed."""
-        answer = await self.call_and_keep(connection, request, patience)
+        answer = await self.call_and_keep(connection, request, patience, longest)
         self.put_back(connection)
         return answer
 
-    async def call_and_keep(self, connection: Connection, request: bytes, patience: int) -> http.Answer:
+    async def call_and_keep(
+        self, connection: Connection, request: bytes, patience: int, longest: int = 0
+    ) -> http.Answer:
         """The same, for a user that has more to ask: the connection is still its own, to be put back, and
         closed where it can carry no other call."""
         try:
-            answer = await connection.call(request, patience)
+            answer = await connection.call(request, patience, longest)
         except BaseException:
             connection.close()
             raise
--- a/lotusstream/net/engine_list.py
+++ b/lotusstream/net/engine_list.py
@@ -13,6 +13,7 @@
 from lotusstream.protocol import http, notices
 
 LONGEST_NEWS = 8 << 20
+LONGEST_POLL = 10_000_000  # microseconds, while more of a list keeps coming
 LINGER = http.TOLD_AFTER // 4  # a poll that falls silent is made anew well before its news counts as told
 
 
@@ -98,7 +99,7 @@
         began, told = self._clock.now(), None
         request = http.request("GET", f"/board/poll?watch={last}&linger={LINGER // http.MS}", board.host, {})
         try:
-            answer = await board.call(await board.get(), request, LINGER + http.PATIENCE)
+            answer = await board.call(await board.get(), request, LINGER + http.PATIENCE, LONGEST_POLL)
             if answer.status != 200:
                 raise CallBroken(f"status {answer.status}")
             told = notices.parse_notices(answer.body, self._deployment)
--- /dev/null
+++ b/tests/scale/test_long_lists.py
@@ -0,0 +1,63 @@
+"""Lists of thousands of servers over a slow path, too long ones, and what a whole list says anew."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from conftest import World, engine, http_answer
+
+from lotusstream import interface as api
+from lotusstream.net.connection import Connection, SocketBudget
+from lotusstream.net.endpoints import Endpoints
+from lotusstream.protocol.notices import Listed, Notice
+
+
+def listed(name: int, **changes: object) -> Listed:
+    return Listed(engine(name, **changes), ("127.0.0.1", name))
+
+
+def whole(*entries: Listed) -> Notice:
+    return Notice(1, True, entries, 0)
+
+
+def test_a_whole_list_costs_what_differs_and_withdraws_first() -> None:
+    known = Endpoints(lambda _id, _address: pytest.fail("nothing was sent"), 1)
+    known.apply(known.differing(whole(listed(1), listed(2), listed(3))))
+    assert known.differing(whole(listed(3), listed(1), listed(2))) == []
+    draining = listed(2, state=api.State.DRAINING)
+    told = known.differing(whole(listed(4), draining, listed(1)))
+    assert [(each.engine.id[0], each.engine.state) for each in told] == [
+        (2, api.State.DRAINING),
+        (3, api.State.GONE),
+        (4, api.State.READY),
+    ]
+
+
+async def test_a_list_that_comes_slowly_is_read_to_its_end() -> None:
+    """It was dropped after a fixed time, however much had come, and asked for anew each time."""
+    body = http_answer(200, json.dumps({"rev": 1, "notices": []}).encode())
+
+    async def serve(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for at in range(len(body)):
+            writer.write(body[at : at + 1])
+            await asyncio.sleep(0.02)
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    endpoint = server.sockets[0].getsockname()[:2]
+    connection = await Connection.open(endpoint, 250_000, SocketBudget(8), 1 << 20, ends_things=False)
+    answer = await connection.call(b"GET / HTTP/1.1\r\n\r\n", 300_000, 10_000_000)
+    assert answer.status == 200
+    connection.close()
+    server.close()
+
+
+async def test_a_list_longer_than_any_leaves_the_last_good_one(world: World) -> None:
+    client = await world.start()
+    entries = [world.engines[0].entry("draining") | {"uid": f"s-{number:06d}"} for number in range(60_000)]
+    news = {"rev": 2, "notices": [{"rev": 2, "pool": {"rev": 2, "all": True, "targets": entries}}]}
+    world.board.raw = http_answer(200, json.dumps(news).encode())
+    world.board.tell()
+    await world.log.until(lambda line: "poll failed" in line)
+    assert (await client.answer(client.ask()))[1]
