An endpoint that one list names twice counts as its last; the module under random events

Found by random events with entries twice in one list: the catalogue dropped the rank of an endpoint that was listed again behind its own removal (KeyError in Catalog._fill). Now the last entry of a name counts. tests/policy: five fleets under random requests, ends and lists (each request ends once, nothing to withdrawn servers), a followed catalogue equals one filled anew. 7 passed.

--- a/lotusstream/policy/catalog.py
+++ b/lotusstream/policy/catalog.py
@@ -121,9 +121,8 @@
         """Takes a list, or changes of one, and returns what differs now. Endpoints that are gone are listed
         no more."""
         changes: list[EntryChange] = []
-        listed = set[api.EngineId]()
-        for entry in engines:
-            listed.add(entry.id)
+        listed = {entry.id: entry for entry in engines}  # the last of those that name the same
+        for entry in listed.values():
             before = self.entries.get(entry.id)
             after = None if entry.state is api.State.GONE else entry
             if before != after:
