--- a/lotusstream/lab/scale/planted.py
+++ b/lotusstream/lab/scale/planted.py
@@ -86,8 +86,8 @@
 def unsafe_retry() -> None:
     """A request that must not be repeated is sent again as any other."""
 
-    def may_send_again(self: gateway.Gateway, cmd: Any) -> bool:
-        return len(cmd.tries) < self.allowed.sends and self.now < cmd.ends_by
+    def may_send_again(self: gateway.Gateway, request: Any) -> bool:
+        return len(request.attempts) < self.allowed.sends and self.now < request.deadline
 
     gateway.Gateway._may_send_again = may_send_again  # type: ignore[method-assign]
 
@@ -116,7 +116,7 @@
 
 def no_slow_start() -> None:
     """A server that has just started is sent what any other is."""
-    gateway.Gateway._bears = lambda self, be, weight: True  # type: ignore[method-assign]
+    gateway.Gateway._slow_start_admits = lambda self, endpoint, weight: True  # type: ignore[method-assign]
 
 
 PLANTED: dict[str, Callable[[], None]] = {
--- a/lotusstream/policy/state.py
+++ b/lotusstream/policy/state.py
@@ -11,10 +11,10 @@
 
 
 @dataclass(slots=True, eq=False)
-class Try:
+class Attempt:
     """One send of a command."""
 
-    be: Backend
+    endpoint: Endpoint
     at: int
     alone: float  # what its work would take on an idle engine
     expected: float
@@ -23,19 +23,19 @@
     stalled: bool = False
     told: bool = False  # a note of progress told the finish
     outcome: api.Outcome | None = None
-    doomed: bool = False  # cancelled by this gateway
+    cancelled: bool = False  # cancelled by this gateway
 
     @property
     def zone(self) -> int:
-        return self.be.entry.zone
+        return self.endpoint.entry.zone
 
     @property
     def cell(self) -> int:
-        return self.be.entry.cell
+        return self.endpoint.entry.cell
 
 
 @dataclass(slots=True, eq=False)
-class Command:
+class Request:
     id: int
     kind: int  # place of its profile among all
     profile: api.Profile
@@ -44,33 +44,33 @@
     hint: int | None
     work: float
     weight: float  # the usual work of its profile, never thought too small
-    due: int
-    ends_by: int
-    lot: int  # drawn once: decides among equals
+    soft_deadline: int
+    deadline: int
+    tie_break_seed: int  # drawn once: decides among equals
     pool: Pool  # judged with it
     cell: int | None = None
-    tries: list[Try] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
     overlong: int = 0  # sends given up as bad plans
     earlier: list[api.RanElsewhere] = field(default_factory=list)  # by other gateways
 
     @property
-    def out(self) -> list[Try]:
-        return [a_try for a_try in self.tries if a_try.outcome is None]
+    def out(self) -> list[Attempt]:
+        return [attempt for attempt in self.attempts if attempt.outcome is None]
 
     @property
-    def erred(self) -> set[Backend]:
+    def erred(self) -> set[Endpoint]:
         """The engines that answered it with an error."""
-        return {a_try.be for a_try in self.tries if a_try.outcome is api.Outcome.ERROR}
+        return {attempt.endpoint for attempt in self.attempts if attempt.outcome is api.Outcome.ERROR}
 
     @property
-    def failed_at(self) -> set[Backend]:
+    def failed_at(self) -> set[Endpoint]:
         """The engines that answered it with an error, or where it was given up."""
-        return {a_try.be for a_try in self.tries if a_try.doomed} | self.erred
+        return {attempt.endpoint for attempt in self.attempts if attempt.cancelled} | self.erred
 
     @property
-    def ran(self) -> list[Try | api.RanElsewhere]:
+    def ran(self) -> list[Attempt | api.RanElsewhere]:
         """The sends that may have run."""
-        return [*self.earlier, *[each for each in self.tries if each.outcome not in api.PROVES_NOT_RUN]]
+        return [*self.earlier, *[each for each in self.attempts if each.outcome not in api.PROVES_NOT_RUN]]
 
 
 class Pool:
@@ -79,30 +79,38 @@
     `active`: ready ones with sends out or under pressure. Only these are looked at now and then; of all
     others nothing is known that is not known of the pool, so they count by their cores."""
 
-    def __init__(self, paces: Ring, usual: list[Any], width: float) -> None:
-        self.usual = usual  # what each profile's commands take there
-        self.paces, self.out = paces, 0  # threads of this gateway there
+    def __init__(self, latency_ratios: Ring, estimates: list[Any], limit_factor: float) -> None:
+        self.estimates = estimates  # what each profile's commands take there
+        self.latency_ratios, self.out = latency_ratios, 0  # threads of this gateway there
         self.cores = 0.0  # of those that are ready
-        self.width, self.adjusted_at = width, 0  # of engines of which nothing is known
-        self.strained, self.calm, self.best, self.room, self.others = False, 1.0, math.inf, 0.0, 0.0
-        self.all_pressed, self.slice_per_core = False, 0.0  # engines of which nothing is known
-        self.active: dict[Backend, ActiveSums] = {}
-        self.changed: dict[Backend, None] = {}  # since they were last gauged
+        self.limit_factor, self.adjusted_at = limit_factor, 0  # of engines of which nothing is known
+        self.overloaded, self.baseline_ratio, self.best, self.free_capacity, self.others = (
+            False,
+            1.0,
+            math.inf,
+            0.0,
+            0.0,
+        )
+        self.all_overloaded, self.limit_per_core = False, 0.0  # engines of which nothing is known
+        self.active: dict[Endpoint, ActiveSums] = {}
+        self.changed: dict[Endpoint, None] = {}  # since they were last gauged
         self.sums = ActiveSums(0.0, 0.0, 0.0)
 
     @property
     def floor(self) -> float:
         """The best latency ratio that is believed."""
-        return max(1.0, min(self.best, self.calm))
+        return max(1.0, min(self.best, self.baseline_ratio))
 
-    def count(self, be: Backend) -> None:
+    def count(self, endpoint: Endpoint) -> None:
         """Takes in what was last found of an engine."""
-        found = ActiveSums(be.cores, be.cores if be.pressed else 0.0, be.slice)
-        self.sums = self.sums + found - self.active.get(be, NOTHING)
-        self.active[be] = found
+        found = ActiveSums(
+            endpoint.cores, endpoint.cores if endpoint.overloaded else 0.0, endpoint.concurrency_limit
+        )
+        self.sums = self.sums + found - self.active.get(endpoint, NOTHING)
+        self.active[endpoint] = found
 
-    def discount(self, be: Backend) -> None:
-        if (before := self.active.pop(be, None)) is not None:
+    def discount(self, endpoint: Endpoint) -> None:
+        if (before := self.active.pop(endpoint, None)) is not None:
             self.sums = self.sums - before if self.active else NOTHING
 
 
@@ -111,80 +119,113 @@
     """Of one active engine or of all of them."""
 
     cores: float
-    pressed_cores: float
-    slices: float
+    overloaded_cores: float
+    concurrency_limits: float
 
     def __add__(self, other: ActiveSums) -> ActiveSums:
         return ActiveSums(
-            self.cores + other.cores, self.pressed_cores + other.pressed_cores, self.slices + other.slices
+            self.cores + other.cores,
+            self.overloaded_cores + other.overloaded_cores,
+            self.concurrency_limits + other.concurrency_limits,
         )
 
     def __sub__(self, other: ActiveSums) -> ActiveSums:
         return ActiveSums(
-            self.cores - other.cores, self.pressed_cores - other.pressed_cores, self.slices - other.slices
+            self.cores - other.cores,
+            self.overloaded_cores - other.overloaded_cores,
+            self.concurrency_limits - other.concurrency_limits,
         )
 
 
 NOTHING = ActiveSums(0.0, 0.0, 0.0)
 
 
-class Backend:
+class Endpoint:
     """An engine as this gateway sees it. Made when it is looked at, kept from the first send on."""
 
     __slots__ = (
-        "_span", "adjusted_at", "aside_at", "aside_until", "cold_at", "cores", "credit", "entry", "failures",
-        "full_at", "gauged_at", "heard", "loads", "lost", "out", "overdue", "pace", "paces", "phase", "pool",
-        "pressed", "pushed", "slice", "stuck", "threads", "used_at", "warm", "width",
-    )  # fmt: skip
-
-    def __init__(self, entry: api.Engine, pool: Pool, cores: float, pace_span: int, credit: float) -> None:
+        "_span",
+        "adjusted_at",
+        "concurrency_limit",
+        "cores",
+        "ejected_at",
+        "ejected_until",
+        "entry",
+        "failures",
+        "full_at",
+        "gauged_at",
+        "heard",
+        "latency_ratio",
+        "latency_ratios",
+        "limit_factor",
+        "loads",
+        "lost",
+        "out",
+        "overdue_ratio",
+        "overloaded",
+        "phase",
+        "pool",
+        "retry_credit",
+        "slow_start_at",
+        "slow_start_work",
+        "stalled_ratio",
+        "threads",
+        "used_at",
+        "warm",
+    )
+
+    def __init__(
+        self, entry: api.Engine, pool: Pool, cores: float, pace_span: int, retry_credit: float
+    ) -> None:
         self.pool, self._span = pool, pace_span
         self.entry, self.cores = entry, cores
-        self.threads, self.out = 0, dict[int, tuple[Command, Try]]()  # by command and send
-        self.loads: dict[int, tuple[Command | None, float]] = {}  # latest load of a group; when it ends
+        self.threads, self.out = 0, dict[int, tuple[Request, Attempt]]()  # by command and send
+        self.loads: dict[int, tuple[Request | None, float]] = {}  # latest load of a group; when it ends
         self.warm: dict[int, int] = {}  # groups last run here, oldest first
-        self.paces: Ring | None = None  # recent latency over what the work would take alone
-        self.pace, self.pressed = pool.calm, pool.all_pressed
-        self.overdue = self.stuck = pool.calm  # the pace that sends still out already show; with those that
+        self.latency_ratios: Ring | None = None  # recent latency over what the work would take alone
+        self.latency_ratio, self.overloaded = pool.baseline_ratio, pool.all_overloaded
+        self.overdue_ratio = self.stalled_ratio = (
+            pool.baseline_ratio
+        )  # the pace that sends still out already show; with those that
         # stand behind loads: they hold memory
-        self.width, self.credit = pool.width, credit
-        self.slice = cores * pool.slice_per_core  # threads
+        self.limit_factor, self.retry_credit = pool.limit_factor, retry_credit
+        self.concurrency_limit = cores * pool.limit_per_core  # threads
         self.gauged_at = self.adjusted_at = self.used_at = -1
         self.full_at: int | None = None
-        self.heard, self.failures, self.aside_at = 0, 0, 0
-        self.aside_until: int | None = None
+        self.heard, self.failures, self.ejected_at = 0, 0, 0
+        self.ejected_until: int | None = None
         self.lost = False  # some of the failures were no word of its own
-        self.chill(None, 0.0)
+        self.begin_slow_start(None, 0.0)
 
-    def chill(self, since: int | None, phase: float) -> None:
-        self.cold_at, self.phase = since, phase
-        self.pushed: Ring | None = None  # work sent while cold
+    def begin_slow_start(self, since: int | None, phase: float) -> None:
+        self.slow_start_at, self.phase = since, phase
+        self.slow_start_work: Ring | None = None  # work sent while cold
 
-    def learn_pace(self, now: int, pace: float, buckets: int) -> None:
-        self.paces = self.paces or Ring(self._span, buckets)
-        self.paces.add(now, pace)
+    def learn_latency_ratio(self, now: int, latency_ratio: float, buckets: int) -> None:
+        self.latency_ratios = self.latency_ratios or Ring(self._span, buckets)
+        self.latency_ratios.add(now, latency_ratio)
         self.pool.changed[self] = None
 
-    def begins(self, cmd: Command, a_try: Try, keep: int) -> int | None:
+    def begins(self, request: Request, attempt: Attempt, keep: int) -> int | None:
         """A send goes out. `keep`: how many groups stay warm there. Returns the group that no longer does."""
-        threads, cooled = cmd.profile.threads, None
-        cmd.tries.append(a_try)
-        self.heard = self.heard if self.out else a_try.at
-        self.out[cmd.id << 8 | a_try.number] = (cmd, a_try)
+        threads, cooled = request.profile.threads, None
+        request.attempts.append(attempt)
+        self.heard = self.heard if self.out else attempt.at
+        self.out[request.id << 8 | attempt.number] = (request, attempt)
         self.threads += threads
-        self.pool.room, self.pool.out = self.pool.room - threads, self.pool.out + threads
+        self.pool.free_capacity, self.pool.out = self.pool.free_capacity - threads, self.pool.out + threads
         self.pool.changed[self] = None
-        self.used_at = a_try.at
-        self.warm.pop(cmd.group, None)
-        self.warm[cmd.group] = a_try.at
+        self.used_at = attempt.at
+        self.warm.pop(request.group, None)
+        self.warm[request.group] = attempt.at
         if len(self.warm) > keep:
             cooled = next(iter(self.warm))
             del self.warm[cooled]
-        if self.pushed is not None:
-            self.pushed.add(a_try.at, cmd.weight)
+        if self.slow_start_work is not None:
+            self.slow_start_work.add(attempt.at, request.weight)
         return cooled
 
-    def ends(self, send: int) -> tuple[Command, Try] | None:
+    def ends(self, send: int) -> tuple[Request, Attempt] | None:
         """A send has its outcome, if it is known here."""
         if (held := self.out.pop(send, None)) is not None:
             self.threads -= held[0].profile.threads
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -89,7 +89,7 @@
             host.end(command, Outcome.ERROR)
             host.end(command, Outcome.ERROR)
         host.end(host.take(), Outcome.ANSWERED)
-    assert all(be.aside_until is None for be in host.gateway.backends.values())
+    assert all(endpoint.ejected_until is None for endpoint in host.gateway.endpoints.values())
 
 
 def test_an_engine_that_errs_is_set_aside_but_goes_on_with_what_it_runs_and_is_not_cold() -> None:
@@ -103,8 +103,8 @@
     host.pass_time(100 * MS)
     assert not [action for action in host.log if isinstance(action, api.Cancel)]
     host.end(running, Outcome.ANSWERED, 0)
-    be = host.gateway.backends[engine(1).id]
-    assert host.sends(held) and not host.gateway._cold(be)
+    endpoint = host.gateway.endpoints[engine(1).id]
+    assert host.sends(held) and not host.gateway._in_slow_start(endpoint)
 
 
 def test_connections_reset_by_an_engine_that_answers_are_no_end_of_it() -> None:
@@ -116,14 +116,14 @@
     host.pass_time(100 * MS)
     assert api.Cancel(running, 0) not in host.log
     host.end(running, Outcome.ANSWERED, 0)
-    assert not host.gateway._cold(host.gateway.backends[engine(1).id])
+    assert not host.gateway._in_slow_start(host.gateway.endpoints[engine(1).id])
 
 
 def test_the_trial_of_an_engine_set_aside_has_its_time_and_no_more(host: Host) -> None:
     for name in (1, 2, 3):
-        be = host.gateway._backend(engine(name).id)
-        host.gateway._keep(be)
-        host.gateway._set_aside(be)
+        endpoint = host.gateway._endpoint(engine(name).id)
+        host.gateway._retain(endpoint)
+        host.gateway._eject(endpoint)
     host.pass_time(5 * S)
     trial = host.take(hint=1 * S)
     assert len(host.sends(trial)) == 1
@@ -494,7 +494,7 @@
     command = host.take(timeout=6 * S, hint=None)
     lost = host.sends(command)[-1].engine
     host.end(command, api.Outcome.CONNECT_FAILED, 3 * S // 2)
-    assert belief(host, lost).aside_until
+    assert belief(host, lost).ejected_until
     return lost
 
 
@@ -506,7 +506,7 @@
 def test_hearsay_sets_nobody_aside(host: Host) -> None:
     one = engine(1).id
     host.tell(*[api.Hearsay(one, False)] * 9)
-    assert belief(host, one).aside_until is None and belief(host, one).failures == 0
+    assert belief(host, one).ejected_until is None and belief(host, one).failures == 0
     host.tell(api.Hearsay(b"nobody", False))
 
 
@@ -516,9 +516,9 @@
         host = Host(seed=seed)
         host.engines(engine(1), engine(2), engine(3))
         lost = set_aside(host)
-        before = belief(host, lost).aside_until
+        before = belief(host, lost).ejected_until
         host.tell(api.Hearsay(lost, True))
-        after = belief(host, lost).aside_until
+        after = belief(host, lost).ejected_until
         assert before is not None and after is not None and after <= min(before, host.now + S)
         left.add(after - host.now)
     assert len(left) > 4
@@ -526,11 +526,11 @@
 
 def test_hearsay_spares_trials_for_a_bounded_time_only(host: Host) -> None:
     lost = set_aside(host)
-    began, alone = host.now, belief(host, lost).aside_until or 0
+    began, alone = host.now, belief(host, lost).ejected_until or 0
     for _ in range(60):
         host.now += S // 2
         host.tell(api.Hearsay(lost, False))
-    until = belief(host, lost).aside_until or 0
+    until = belief(host, lost).ejected_until or 0
     assert alone + S < until <= began + 21 * S < host.now  # a trial is due, whatever is heard
 
 
@@ -541,5 +541,5 @@
     command = host.take()
     silent = host.sends(command)[0].engine
     host.pass_time(5 * S)
-    assert host.gateway.backends[silent].aside_until is not None
+    assert host.gateway.endpoints[silent].ejected_until is not None
     assert api.Cancel(command, 0) in host.log
