--- a/lotusstream/interface.py
+++ b/lotusstream/interface.py
@@ -400,8 +400,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Belief:
-    """One engine on the list, as the module sees it. `pace`: recent latency over what the work would take
-    alone. `slice`: threads that this gateway may have there under pressure, as last bounded."""
+    """One engine on the list, as the module sees it. `latency_ratio`: recent latency over what the work would
+    take alone. `concurrency_limit`: threads that this gateway may have there while it is overloaded."""
 
     engine: EngineId
     state: State
@@ -411,13 +411,13 @@
     threads: int
     sends: int
     loads: int
-    pace: float
-    pressed: bool
-    slice: float
-    credit: float
+    latency_ratio: float
+    overloaded: bool
+    concurrency_limit: float
+    retry_credit: float
     failures: int
-    aside_until: int | None
-    cold_until: int | None
+    ejected_until: int | None
+    slow_start_until: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -426,8 +426,8 @@
 
     engines: tuple[Belief, ...]
     share: float
-    calm: float
-    strained: bool
+    baseline_ratio: float
+    overloaded: bool
     open: int
     held: int
 
--- a/lotusstream/levels/gauge.py
+++ b/lotusstream/levels/gauge.py
@@ -226,10 +226,10 @@
         if most:
             values["ready", None] = Value(min(1.0, _cores(usable) / most), len(listed))
         if usable:
-            cold = [belief for belief in usable if belief.cold_until is not None]
+            cold = [belief for belief in usable if belief.slow_start_until is not None]
             values["cold", None] = Value(_cores(cold) / _cores(usable), len(usable))
         if listed:
-            aside = [belief for belief in listed if belief.aside_until is not None]
+            aside = [belief for belief in listed if belief.ejected_until is not None]
             values["aside", None] = Value(_cores(aside) / _cores(listed), len(listed))
 
     def standing_cores(self, now: int) -> float | None:
@@ -239,7 +239,7 @@
         if believed is None:
             return None
         ready = [b for b in believed.engines if b.state is api.State.READY]
-        return _cores([b for b in ready if b.aside_until is None or b.engine not in self._broke])
+        return _cores([b for b in ready if b.ejected_until is None or b.engine not in self._broke])
 
     def _work_values(
         self, now: int, believed: api.Believed | None, watched: float, values: dict[Key, Value | None]
@@ -293,9 +293,9 @@
     def _warmth(self, now: int, belief: api.Belief) -> float:
         """The part of its work that an engine which still warms up is taken to do."""
         duties = self._given.duties
-        if belief.cold_until is None or not duties.warm_up:
+        if belief.slow_start_until is None or not duties.warm_up:
             return 1.0
-        left = min(1.0, max(0.0, (belief.cold_until - now) / duties.warm_up))
+        left = min(1.0, max(0.0, (belief.slow_start_until - now) / duties.warm_up))
         return 1.0 - left * (1.0 - duties.cold_from)
 
     def _outcome_values(self, now: int, values: dict[Key, Value | None]) -> None:
@@ -328,7 +328,7 @@
 
 
 def _usable(belief: api.Belief) -> bool:
-    return belief.state is api.State.READY and belief.aside_until is None
+    return belief.state is api.State.READY and belief.ejected_until is None
 
 
 def _cores(beliefs: list[api.Belief]) -> float:
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -168,7 +168,7 @@
     def _status(self, view: View) -> dict[str, Any]:
         believed, now = view.believed, self._clock.now()
         ready = [engine for engine in believed.engines if engine.state is api.State.READY]
-        usable = [engine for engine in ready if engine.aside_until is None]
+        usable = [engine for engine in ready if engine.ejected_until is None]
         return {
             "gateway": self._name,
             "version": __version__,
@@ -178,13 +178,13 @@
             "engines": {
                 "listed": len(believed.engines),
                 "usable": len(usable),
-                "cold": sum(engine.cold_until is not None for engine in usable),
-                "aside": sum(engine.aside_until is not None for engine in ready),
+                "cold": sum(engine.slow_start_until is not None for engine in usable),
+                "aside": sum(engine.ejected_until is not None for engine in ready),
             },
             "commands": {"open": believed.open, "held": believed.held},
             "share": believed.share,
-            "pace": believed.calm,
-            "strained": believed.strained,
+            "pace": believed.baseline_ratio,
+            "strained": believed.overloaded,
             "own": dataclasses.asdict(self._use()),
             "operator_file": self.file.path,
         }
@@ -227,12 +227,12 @@
                 "threads": belief.threads,
                 "sends": belief.sends,
                 "loads": belief.loads,
-                "pace": belief.pace,
-                "pressed": belief.pressed,
-                "credit": belief.credit,
+                "pace": belief.latency_ratio,
+                "pressed": belief.overloaded,
+                "credit": belief.retry_credit,
                 "failures": belief.failures,
-                "aside_us": max(0, belief.aside_until - view.now) if belief.aside_until else None,
-                "cold_us": max(0, belief.cold_until - view.now) if belief.cold_until else None,
+                "aside_us": max(0, belief.ejected_until - view.now) if belief.ejected_until else None,
+                "cold_us": max(0, belief.slow_start_until - view.now) if belief.slow_start_until else None,
             }
             for belief in view.believed.engines
         ]
--- a/tests/cells/test_moves.py
+++ b/tests/cells/test_moves.py
@@ -146,7 +146,7 @@
     for command in jam[:40]:
         host.end(command, latency=8 * S)  # forty times the work
     believed = next(a for a in host.tell(api.Asked()) if isinstance(a, api.Believed))
-    pressed = {each.zone for each in believed.engines if each.pressed}
+    pressed = {each.zone for each in believed.engines if each.overloaded}
     fresh = host.take("state")
     assert pressed <= {0} and host.zones(fresh) == {1} and not host.finals(fresh)
 
--- a/tests/levels/test_keeper.py
+++ b/tests/levels/test_keeper.py
@@ -59,7 +59,7 @@
         if seen_to_go:
             ended = api.Ended(0, 0, FLEET[2].engine, api.Outcome.RESET, 0, False, None, None, None, False)
             rig.tell(ended)
-        rig.engines = (*FLEET[:2], replace(FLEET[2], aside_until=rig.now + 600 * S), FLEET[3])
+        rig.engines = (*FLEET[:2], replace(FLEET[2], ejected_until=rig.now + 600 * S), FLEET[3])
         rig.flow(8, 1.7)
         return [change.cause for change in rig.keeper.history][1:]
 
@@ -87,7 +87,7 @@
 def test_capacity_that_returns_cold_counts_by_what_cold_engines_do() -> None:
     rig = Rig().flow(15, 0.8)
     cold = rig.now + 15 * S
-    rig.engines = tuple(replace(engine, cold_until=cold) for engine in FLEET)
+    rig.engines = tuple(replace(engine, slow_start_until=cold) for engine in FLEET)
     rig.flow(1, 0.8)
     assert rig.signal("cold") == 1.0 and (rig.signal("load") or 0) > 1.6
     rig.flow(16, 0.8)
@@ -293,6 +293,6 @@
 
 def test_engines_that_warm_up_belong_to_what_is_usable() -> None:
     rig = Rig()
-    rig.engines = (belief(1), belief(2, cold_until=20 * S), belief(3, 1, aside_until=20 * S))
+    rig.engines = (belief(1), belief(2, slow_start_until=20 * S), belief(3, 1, ejected_until=20 * S))
     rig.flow(6, 0.1)
     assert (rig.signal("cold"), rig.signal("aside")) == (0.5, pytest.approx(1 / 3))
