--- a/lotusstream/cli/__init__.py
+++ b/lotusstream/cli/__init__.py
@@ -17,8 +17,9 @@
 import uvloop
 
 from lotusstream import __version__
+from lotusstream.net.configuration import Configuration, UnusableConfiguration, read_configuration
 from lotusstream.net.connection import US
-from lotusstream.net.gateway import Configuration, GatewayServer, UnusableConfiguration, read_configuration
+from lotusstream.net.gateway import GatewayServer
 from lotusstream.protocol import front, http
 from lotusstream.protocol.tables import table_group
 
@@ -233,14 +234,15 @@
     command.set_defaults(act=group)
     commands.add_parser("ctl", help="ask a running gateway, or change it by hand", add_help=False)
     commands.add_parser("fleet", help="start a fleet on this machine, with faults", add_help=False)
+    commands.add_parser("lab", help="try the gateway under seeded faults", add_help=False)
     commands.add_parser("version", help="print the version").set_defaults(act=version)
     return made
 
 
 def main(words: list[str] | None = None) -> int:
     words = sys.argv[1:] if words is None else words
-    if words[:1] in (["ctl"], ["fleet"]) or "_LOTUSSTREAM_COMPLETE" in os.environ:
-        from lotusstream.cli.ctl import run
+    if words[:1] in (["ctl"], ["fleet"], ["lab"]) or "_LOTUSSTREAM_COMPLETE" in os.environ:
+        from lotusstream.cli.program import run
 
         return run(words)
     arguments = parser().parse_args(words)
--- a/lotusstream/cli/ctl.py
+++ b/lotusstream/cli/ctl.py
@@ -10,10 +10,9 @@
 import json
 import os
 import socket
-import sys
 import time
 from collections.abc import Iterator
-from typing import Any, NoReturn
+from typing import Any
 
 import click
 from click.shell_completion import CompletionItem
@@ -291,34 +290,3 @@
 def abort(context: click.Context, tenant: str) -> None:
     """Undo a move that is not switched yet."""
     gateway_of(context).show(gateway_of(context).ask(wire.AbortMove(tenant)), render.cells)
-
-
-def run(words: list[str]) -> int:
-    """As a program: the status to end with."""
-    import lotusstream.cli.ctl_fleet  # its commands join those of ctl
-
-    if words[:1] == ["fleet"]:
-        import lotusstream.cli.fleet  # noqa: F401
-
-    try:
-        program.main(words, prog_name="lotusstream", standalone_mode=False)
-    except click.exceptions.Exit as error:
-        return error.exit_code
-    except click.Abort:
-        return 130
-    except click.ClickException as error:
-        if isinstance(error, click.UsageError):
-            error.show()
-        else:
-            click.echo(f"lotusstream: {error.format_message()}", err=True)
-        return error.exit_code
-    except BrokenPipeError:  # the reader of a pipe has left
-        sys.stdout = open(os.devnull, "w")  # noqa: SIM115 - nothing more is to be said at the end
-        return 0
-    return 0
-
-
-def main() -> NoReturn:
-    from lotusstream.cli import main as whole
-
-    sys.exit(whole())
--- a/lotusstream/cli/fleet.py
+++ b/lotusstream/cli/fleet.py
@@ -7,13 +7,12 @@
 
 import click
 
-from lotusstream.cli.ctl import program
 from lotusstream.lab.fleet import run as playing
 from lotusstream.lab.fleet.rig import FleetRig
 from lotusstream.lab.fleet.schedule import KINDS, UnusableSchedule, drawn, read, write
 
 
-@program.group()
+@click.group()
 def fleet() -> None:
     """Start gateways on this machine, and break what lies between them."""
 
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -4,24 +4,23 @@
 
 import asyncio
 import contextlib
-import json
 import select
 import socket
 import sys
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import TYPE_CHECKING, Any
+from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from lotusstream import interface as api
-from lotusstream.deployment import Deployment, UnusableSettings, read_settings
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.client import ClientConnection, ClientShare, Unread
 from lotusstream.net.clock import LAG_NOTICED, WATCH_PAUSE, Clock
+from lotusstream.net.configuration import Configuration, UnusableConfiguration
 from lotusstream.net.connection import US, Endpoint, SocketBudget
 from lotusstream.net.decider import Decider
 from lotusstream.net.engine_list import EngineList, Follow
-from lotusstream.protocol import front, notices
+from lotusstream.protocol import front
 
 if TYPE_CHECKING:
     from lotusstream.net.parts import Parts
@@ -36,49 +35,6 @@
 OWN = 16  # descriptors: the program's files, the loop's, the listener and the board
 
 
-class UnusableConfiguration(Exception):
-    """One line that says what is wrong."""
-
-
-@dataclass(frozen=True, slots=True)
-class Configuration:
-    name: str
-    listen: Endpoint
-    board: Endpoint
-    cores: float
-    descriptors: int
-    memory: int
-    deployment: Deployment
-    known: notices.Notices
-
-
-def read_configuration(text: str) -> Configuration:
-    try:
-        raw: dict[str, Any] = json.loads(text)
-        listen, board = (notices.parse_endpoint(raw[name]) for name in ("listen", "board"))
-        if listen is None or board is None:
-            raise UnusableConfiguration("configuration: 'listen' and 'board' are to be host:port")
-        deployment = read_settings(int(raw["seed"], 16) % 2**64, raw["settings"])
-        if not deployment.profiles:
-            raise UnusableConfiguration("configuration: no profile in the settings")
-        return Configuration(
-            name=str(raw["name"]),
-            listen=listen,
-            board=board,
-            cores=float(raw["limits"].get("cores", 1.0)),
-            descriptors=int(raw["limits"]["sockets"]),
-            memory=int(raw["limits"]["memory_mb"]) << 20,
-            deployment=deployment,
-            known=notices.read_notices(raw["known"], deployment),
-        )
-    except KeyError as error:
-        raise UnusableConfiguration(f"configuration: {error} is missing") from error
-    except (ValueError, TypeError, AttributeError, RecursionError) as error:
-        raise UnusableConfiguration(f"configuration: {error}") from error
-    except (UnusableSettings, notices.UnreadableNotices) as error:
-        raise UnusableConfiguration(f"configuration: {error}") from error
-
-
 class GatewayServer:
     def __init__(self, configuration: Configuration, operator: OperatorFile | None = None) -> None:
         self._configuration = configuration
--- a/lotusstream/net/operated.py
+++ b/lotusstream/net/operated.py
@@ -25,8 +25,8 @@
 from lotusstream.protocol import control as wire
 
 if TYPE_CHECKING:
+    from lotusstream.net.configuration import Configuration
     from lotusstream.net.fleet import Fleet
-    from lotusstream.net.gateway import Configuration
 
 TICK = 0.25  # seconds, where no ladder names a window
 OWN_EVERY = 1.0  # seconds between two looks at the gateway's own use
--- a/lotusstream/net/parts.py
+++ b/lotusstream/net/parts.py
@@ -10,8 +10,8 @@
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.client import TenantOf
 from lotusstream.net.clock import Clock
+from lotusstream.net.configuration import Configuration, UnusableConfiguration
 from lotusstream.net.decider import Decider, Module, Tell
-from lotusstream.net.gateway import Configuration, UnusableConfiguration
 from lotusstream.operator.file import OperatorFile, fixed_differences
 from lotusstream.operator.problems import UnusableOperatorFile
 
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -35,11 +35,12 @@
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.client import ClientConnection, ClientLeft, ClientShare, Reply, TakenCommand, Unread
 from lotusstream.net.clock import Clock
+from lotusstream.net.configuration import Configuration, read_configuration
 from lotusstream.net.connection import Connection, Pool, SocketBudget
 from lotusstream.net.decider import Decider
 from lotusstream.net.engine import CancelSend, EngineActor, ListedAs, StartSend
 from lotusstream.net.engine_list import EngineList
-from lotusstream.net.gateway import Configuration, GatewayServer, read_configuration
+from lotusstream.net.gateway import GatewayServer
 from lotusstream.protocol import front, http, notices
 
 MS, S = 1_000, 1_000_000
