--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import select
 import socket
 import sys
@@ -31,6 +32,18 @@
 COME_ON = 600 * MS  # and until then commands still come
 PAUSE = 0.01  # seconds
 LONGEST_WAIT = 3000 * MS  # that much of the longest client timeout is left after that
+# of accept: that one connection has failed already, or the call was interrupted; the next may be had at once.
+# All others (EMFILE, ENFILE, ENOBUFS, ENOMEM and what no page names) are of this machine: after a pause.
+PEERS_TROUBLE = (
+    errno.ECONNABORTED,
+    errno.EINTR,
+    errno.EPROTO,
+    errno.ENETDOWN,
+    errno.EHOSTDOWN,
+    errno.EHOSTUNREACH,
+    errno.ENETUNREACH,
+    errno.ETIMEDOUT,
+)
 READ_TURNS = 3  # of the loop, from when a byte can be read until whoever waits for it goes on
 OWN = 16  # descriptors: the program's files, the loop's, the listener and the board
 
@@ -133,8 +146,10 @@
                 sock, _ = listener.accept()
             except BlockingIOError:
                 return
-            except OSError as error:  # out of descriptors, or the peer has left already
+            except OSError as error:
                 self.supervisor.counters.add("accepts failed")
+                if error.errno in PEERS_TROUBLE:
+                    continue
                 self.supervisor.log.say("accept", str(error))
                 loop = asyncio.get_running_loop()
                 loop.remove_reader(listener)
@@ -201,7 +216,11 @@
 
     def _knocks(self) -> bool:
         """A connection waits to be accepted."""
-        return self._listener is not None and bool(select.select([self._listener], [], [], 0)[0])
+        if self._listener is None:
+            return False
+        poll = select.poll()  # unlike select, for any descriptor's number
+        poll.register(self._listener, select.POLLIN)
+        return bool(poll.poll(0))
 
     def print_counters(self) -> None:
         if self.supervisor.log.structured:
