--- a/lotusstream/policy/gateway.py
+++ b/lotusstream/policy/gateway.py
@@ -16,61 +16,35 @@
 from lotusstream.lots import drawn
 from lotusstream.policy.affinity import Affinity, group_seed
 from lotusstream.policy.catalog import Catalog, Domain, EntryChange, gone
+from lotusstream.policy.estimates import ProfileEstimates
+from lotusstream.policy.limits import ENOUGH, OPEN_FACTOR, RUNAWAY_RATIO, ConcurrencyLimits, fits
 from lotusstream.policy.overload import QueueDelay
-from lotusstream.policy.state import Attempt, Endpoint, Pool, Request
+from lotusstream.policy.state import BUCKETS, Attempt, Endpoint, Pool, Request
 from lotusstream.ring import Ring
 
-SAMPLE, BUCKETS, ENOUGH = 5, 16, 16  # k of SMF; a ring's whole buckets; answers that tell a pace
-OPEN_FACTOR, LEAST_FACTOR = 2.0, 1.0  # threads a core that a bound may reach, and may shrink to
-OVERLOADED_RATIO, NEAR_BEST_RATIO, OVERLOADED_PART = (
-    2.0,
-    1.5,
-    0.1,
-)  # latency over the best; cores pressed that bound all
-WARM_GROUPS, WARM_WORTH = 4, 0.75  # groups that an engine keeps warm; work left to their commands
-EJECTING_FAILURES, HIGHEST, NEVER = 3, 3, 2**62  # in a row, that set an engine aside; top priority; no stop
-RETRY_CREDIT_START, RETRY_CREDIT_MOST, RETRY_CREDIT_PER_ANSWER = 2.0, 10.0, 0.2
+SAMPLE = 5  # k of SMF: requests that a choice compares
+WARM_GROUPS = 4  # table groups that an endpoint keeps warm
+WARM_WORTH = 0.75  # the work that is left to a request where its group is warm
+EJECTING_FAILURES = 3  # in a row
+HIGHEST_PRIORITY = 3
+NEVER = 2**62  # no planned stop
+RETRY_CREDIT_START = 2.0
+RETRY_CREDIT_MOST = 10.0
+RETRY_CREDIT_PER_ANSWER = 0.2
 SLOW_START_MARGIN = 0.6  # of told cores: busy share of the cores, slow machines, chance
 ADMITTED_PART = 0.75  # of a window: a moment that is everyone's then keeps to 0.6 * 1.75 of the budget
-PROBE_EVERY = 10  # commands, to learn this gateway's share of the engines
-OVERDUE_RATIO, RUNAWAY_RATIO = 3.0, 5.0  # expected latencies that tell an overdue send, and a bad plan
-LONGEST_REPORTED = 20  # shortest targets for which another's word may keep an engine aside
+PROBE_EVERY = 10  # requests, to learn this gateway's share of the traffic
+OVERDUE_RATIO = 3.0  # expected latencies after which an attempt is overdue
+LONGEST_REPORTED = 20  # shortest targets for which a peer's report may keep an endpoint ejected
 LONGEST_TOLD_AFTER = 60_000_000  # microseconds after a start that a list may tell it
-PLACED_AT_ONCE = 24  # choices of an engine in one moment
-FEW = 40  # engines: a choice looks at all of no more than these
-SAMPLED, WARM_SAMPLED, WIDENED = 10, 8, 48  # looked at of more: any, warm ones, and where none of them fits
-KNOWN_ENDPOINTS, KNOWN_IDLE, KNOWN_FAILED = (
-    128,
-    8,
-    64,
-)  # engines known; shortest targets without a send after which one of
-# more is forgotten, and one that has failed
-
-
-class ProfileEstimates:
-    """What a profile's commands usually take, learnt from whatever the deployment tells."""
-
-    def __init__(self, profile: api.Profile, longest: int) -> None:
-        self.guess = profile.target * profile.threads / 2.0
-        span = 4 * profile.client_timeout
-        self.work, self.hints, self.latency_ratios = (Ring(span, BUCKETS) for _ in range(3))
-        self.asked = Ring(4 * longest, BUCKETS)  # of all profiles over one span: they are compared
-
-    def mean(self, now: int) -> float:
-        return self.work.mean(now, self.guess, 1.0)
-
-    def learn(self, now: int, work: float, hint: int | None) -> None:
-        estimates = self.mean(now)
-        self.work.add(now, min(work, 4 * estimates))  # a bad plan says little of the usual
-        if hint:
-            self.hints.add(now, hint * min(1.0, 4 * estimates / max(work, 1.0)))
-
-    def estimate(self, now: int, hint: int | None) -> float:
-        """Hints scatter widely and works too: the middle of both, as ratios."""
-        hints, count = self.hints.total(now)
-        if not hint or not count:
-            return float(hint or self.mean(now))
-        return self.mean(now) * math.sqrt(hint * (count + 1) / (hints + hint))
+PLACED_AT_ONCE = 24  # choices of an endpoint in one moment
+FEW = 40  # endpoints: a choice looks at all of no more than these
+SAMPLED = 10  # of more: any by lot
+WARM_SAMPLED = 8  # and such that keep the group warm
+WIDENED = 48  # and where none of these fits
+KNOWN_ENDPOINTS = 128  # whose state is kept whatever becomes of them
+KNOWN_IDLE = 8  # shortest targets without an attempt after which one of more is forgotten
+KNOWN_FAILED = 64  # and one that has failed, or is in slow start
 
 
 class Gateway:
@@ -133,6 +107,7 @@
         self.given, self.duties, self.allowed = event, event.duties, event.allowed
         self.shortest = min(profile.target for profile in event.profiles)
         self.even = self.share = 1.0 / event.gateways
+        self.limits = ConcurrencyLimits(self.shortest)
         self.catalog = Catalog(self.seed, self.even, self._cores)
         self.affinity = Affinity(WARM_GROUPS, 16 * self.shortest)
         self.in_hand, self.pools[None] = Ring(4 * self.shortest, BUCKETS), self._new_pool()
@@ -638,77 +613,6 @@
         free_capacity = part - endpoint.slow_start_work.total(self.now, covering=False)[0]
         return passed < ADMITTED_PART * span and tie_break_seed * weight <= free_capacity
 
-    def _fits(self, threads: int, endpoint: Endpoint) -> bool:
-        """The thread bound. An engine with no pressure of its own yet is bounded too while others show it:
-        guards against all that they can't take being poured on it at once."""
-        pool = endpoint.pool
-        if (
-            not (endpoint.overloaded or pool.overloaded)
-            or endpoint.threads + threads <= endpoint.concurrency_limit
-        ):
-            return True
-        thin = (
-            endpoint.concurrency_limit < threads
-        )  # than one command: one while none runs, and all slices are one pool
-        if thin and not pool.out:
-            return True
-        if threads == 1 or pool.free_capacity < 1:
-            return thin and not endpoint.threads and pool.free_capacity >= 1
-        # guards wide commands against small ones that take each thread as it falls free
-        alike = sum(
-            request.profile.threads
-            for near in (pool.active if thin else [endpoint])
-            for request, _ in near.out.values()
-            if request.profile.threads >= threads
-        )
-        return alike + threads <= max(
-            pool.free_capacity + pool.out if thin else endpoint.concurrency_limit, threads
-        )
-
-    def _gauge_pool(self, pool: Pool) -> None:
-        """The pool's pace and pressure, from the engines that have changed; all others are as they were, or
-        nothing is known of them."""
-        pool.baseline_ratio = max(
-            1.0, math.exp(pool.latency_ratios.latest(self.now, 0.0, ENOUGH / 8, ENOUGH))
-        )
-        pool.all_overloaded = pool.baseline_ratio > OVERLOADED_RATIO * pool.floor
-        pool.limit_per_core = self.share * (pool.limit_factor if pool.all_overloaded else OPEN_FACTOR)
-        for endpoint in pool.changed:
-            self._gauge(endpoint)
-        pool.changed.clear()
-        unknown = max(0.0, pool.cores - pool.sums.cores)
-        overloaded = pool.sums.overloaded_cores + (unknown if pool.all_overloaded else 0.0)
-        pool.overloaded = overloaded > OVERLOADED_PART * pool.cores
-        pool.free_capacity = (
-            pool.sums.concurrency_limits + unknown * pool.limit_per_core - pool.out
-        )  # of all slices together
-        pool.others = (1 / self.share - 1) * pool.out / max(1.0, pool.cores)  # threads a core, as known
-
-    def _gauge(self, endpoint: Endpoint) -> None:
-        """An engine's pace and pressure. Few answers of an engine weigh less than those of all."""
-        pool, best = endpoint.pool, endpoint.pool.floor
-        endpoint.gauged_at = self.now
-        endpoint.latency_ratio = pool.baseline_ratio
-        if endpoint.latency_ratios is not None:
-            endpoint.latency_ratio = math.exp(
-                endpoint.latency_ratios.latest(self.now, math.log(pool.baseline_ratio), ENOUGH / 4, ENOUGH)
-            )
-        refused = endpoint.full_at is not None and self.now - endpoint.full_at < self.shortest
-        full = endpoint.threads >= max(1.0, OPEN_FACTOR * endpoint.cores * self.share)
-        endpoint.overloaded = (
-            refused
-            or (full and max(endpoint.latency_ratio, endpoint.stalled_ratio) > NEAR_BEST_RATIO * best)
-            or max(endpoint.latency_ratio, endpoint.overdue_ratio) > OVERLOADED_RATIO * best
-        )
-        endpoint.concurrency_limit = (
-            endpoint.cores * self.share * (endpoint.limit_factor if endpoint.overloaded else OPEN_FACTOR)
-        )
-        known = self.endpoints.get(endpoint.entry.id) is endpoint  # not one that has restarted since
-        if known and endpoint.entry.state is State.READY and (endpoint.out or endpoint.overloaded):
-            pool.count(endpoint)
-        else:
-            pool.discount(endpoint)
-
     def _added_stall(self, request: Request, endpoint: Endpoint) -> float:
         """SMF's added cost: the stall behind this gateway's running load, and that a load gives readers."""
         profile, stall = request.profile, 0.0
@@ -848,7 +752,7 @@
             if 0 <= endpoint.gauged_at <= self.now - self.evaluation_interval:
                 self._adjust(endpoint)
                 self._gauge(endpoint)
-            if self._fits(request.profile.threads, endpoint) and self._allowed_there(request, endpoint):
+            if fits(request.profile.threads, endpoint) and self._allowed_there(request, endpoint):
                 fit.append(endpoint)
         failed_at = request.failed_at
         for endpoint in [endpoint for endpoint in fit if endpoint not in failed_at] or fit:
@@ -976,7 +880,7 @@
         if request.profile.loads:  # scarce cores go first to what others stand behind
             endpoint.loads[request.group] = (request, attempt.finish)
         named = self.reduced.priorities[request.kind] if self.reduced else None
-        rank = HIGHEST if request.profile.loads else named
+        rank = HIGHEST_PRIORITY if request.profile.loads else named
         if rank is not None and self.allowed.priorities and not attempt.number:
             self.actions.append(api.Resources(request.id, 0.0, rank))
         self.actions.append(api.Send(request.id, endpoint.entry.id, request.deadline - self.now))
@@ -992,7 +896,7 @@
         for pool in self.pools.values():
             if pool.latency_ratios.total(self.now)[1] >= ENOUGH:
                 pool.best = min(pool.baseline_ratio, pool.best * 1.001)
-            self._adapt_pool_limit(pool)
+            self.limits.adapt(pool, pool.baseline_ratio, pool, self.now)
             for endpoint in {**pool.active, **pool.changed}:  # also what was sent to since
                 if endpoint.entry.state is State.READY:
                     self._adjust(endpoint)
@@ -1017,43 +921,20 @@
             self._plan_evaluation(min(self.now + wait, request.deadline - 2 * self.evaluation_interval))
 
     def _adjust(self, endpoint: Endpoint) -> None:
-        endpoint.overdue_ratio = endpoint.stalled_ratio = endpoint.pool.baseline_ratio
-        if (
-            endpoint.out
-        ):  # guards against an engine so crowded, or full of what stands still, that it tells nothing
-            late = [
-                (min(RUNAWAY_RATIO * t.alone, self.now - t.at) / t.alone * request.profile.threads, t.stalled)
-                for request, t in endpoint.out.values()
-            ]
-            endpoint.overdue_ratio, endpoint.stalled_ratio = (
-                (
-                    sum([part for part, stalled in late if count or not stalled])
-                    + endpoint.cores * endpoint.pool.baseline_ratio
-                )
-                / (endpoint.threads + endpoint.cores)
-                for count in (False, True)
-            )
-            if endpoint.ejected_until is None and self._silent(endpoint):
-                self._eject(endpoint)
-        endpoint.limit_factor = self._adapted_factor(
-            endpoint.limit_factor, endpoint.latency_ratio, endpoint.pool, self.now - endpoint.adjusted_at
-        )
-        endpoint.adjusted_at = self.now
+        self.limits.take_in_outstanding(endpoint, self.now)
+        if endpoint.out and endpoint.ejected_until is None and self._silent(endpoint):
+            self._eject(endpoint)
+        self.limits.adapt(endpoint, endpoint.latency_ratio, endpoint.pool, self.now)
 
-    def _adapt_pool_limit(self, pool: Pool) -> None:
-        """The width of engines of which nothing is known follows the pool's own pace."""
-        pool.limit_factor = self._adapted_factor(
-            pool.limit_factor, pool.baseline_ratio, pool, self.now - pool.adjusted_at
-        )
-        pool.adjusted_at = self.now
-
-    def _adapted_factor(self, limit_factor: float, latency_ratio: float, pool: Pool, passed: int) -> float:
-        step = math.pow(2.0, min(1.0, passed / self.shortest))  # twofold in the shortest target
-        if latency_ratio < NEAR_BEST_RATIO * pool.best:
-            return min(OPEN_FACTOR, limit_factor * step)
-        if latency_ratio > OVERLOADED_RATIO * pool.best:
-            return max(LEAST_FACTOR, limit_factor / step)
-        return limit_factor
+    def _gauge(self, endpoint: Endpoint) -> None:
+        known = self.endpoints.get(endpoint.entry.id) is endpoint  # not one that has restarted since
+        self.limits.gauge(endpoint, self.now, self.share, known)
+
+    def _gauge_pool(self, pool: Pool) -> None:
+        self.limits.begin_pool(pool, self.now, self.share)
+        for endpoint in pool.changed:
+            self._gauge(endpoint)
+        self.limits.end_pool(pool, self.share)
 
     def _silent(self, endpoint: Endpoint) -> bool:
         """Overdue sends in a row and not a word: no pause, no slowness, no one bad plan."""
--- a/lotusstream/policy/state.py
+++ b/lotusstream/policy/state.py
@@ -9,6 +9,8 @@
 from lotusstream import interface as api
 from lotusstream.ring import Ring
 
+BUCKETS = 16  # whole buckets of a sliding window
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
