--- a/tests/fleet/test_jammed.py
+++ b/tests/fleet/test_jammed.py
@@ -30,7 +30,7 @@
     jammed = hardly_moves(quiet, quiet.take(hint=2 * S, timeout=20 * S))
     quiet.take(group=9)
     (told,) = [a for a in quiet.tell(api.Asked()) if isinstance(a, api.Believed)]
-    paces = {belief.engine: belief.pace for belief in told.engines}
+    paces = {belief.engine: belief.latency_ratio for belief in told.engines}
     assert paces[jammed] > 1.2 * min(paces.values())
 
 
