Held requests that need no choice no longer use up the choices of a moment

At fault: _release counted held requests of a profile without a place against the bound on choices, and began with the same ones each moment, so retries and other profiles behind them starved. Test fails without it. The next moment now goes on where the last stopped. Lab: a reader of answers that nobody waits for died; the soak's configurations kept another port than the gateway listened on.

--- a/lotusstream/lab/parties.py
+++ b/lotusstream/lab/parties.py
@@ -196,7 +196,9 @@
                 frame = await self._reader.readexactly(length)
                 name_length = struct.unpack_from("!i", frame, 4)[0]
                 (seqid,) = struct.unpack_from("!i", frame, 8 + name_length)
-                self.answers.setdefault(seqid, asyncio.get_running_loop().create_future()).set_result(frame)
+                future = self.answers.setdefault(seqid, asyncio.get_running_loop().create_future())
+                if not future.done():  # nobody may wait for it any more
+                    future.set_result(frame)
         self.closed.set()
 
     def message(self, method: str, kind: int, write: Callable[[TBinaryProtocol], None]) -> int:
--- a/lotusstream/lab/soak/run.py
+++ b/lotusstream/lab/soak/run.py
@@ -36,6 +36,7 @@
     process: GatewayProcess
     customers: Customers
     folder: Path
+    listen: int = 0  # the port that its configuration names
     busy: bool = False  # a signal series or a restart is under way
 
 
@@ -276,7 +277,7 @@
         self._board = new
         self._old_boards.append(old)
         for number, gateway in enumerate(self._gateways):
-            gateway.process.configure(self._configuration(gateway.name, gateway.process.port, number))
+            gateway.process.configure(self._configuration(gateway.name, gateway.listen, number))
             if not gateway.busy:
                 gateway.process.signal(signal.SIGHUP)
         asyncio.get_running_loop().call_later(BOARD_CLOSES, old.die)
@@ -326,10 +327,10 @@
     async def _restart(self, gateway: GatewayUnderTest) -> None:
         self._past.append(gateway.customers)
         self._tasks.append(asyncio.create_task(gateway.customers.finish()))
-        old = gateway.process
+        gateway.listen = gateway.process.port
         gateway.process = GatewayProcess(gateway.folder, self._program())
         number = self._random.randrange(1 << 30)
-        gateway.process.configure(self._configuration(gateway.name, old.port, number))
+        gateway.process.configure(self._configuration(gateway.name, gateway.listen, number))
         try:
             await gateway.process.start()
         except Exception as error:
--- a/lotusstream/policy/gateway.py
+++ b/lotusstream/policy/gateway.py
@@ -53,6 +53,7 @@
         self.endpoints: dict[api.EngineId, Endpoint] = {}  # by their last send, the longest ago first
         self.open: dict[int, Request] = {}
         self.waiting: dict[int, Request] = {}
+        self.postponed: list[int] = []  # held ones that the last moment did not come to
         self.order_by_key: dict[int, deque[Request]] = {}
         self.key_quarantine: dict[int, int] = {}
         self.evaluate_at: int | None = None  # when time alone may change something
@@ -816,31 +817,23 @@
         self.evaluate_at = at if self.evaluate_at is None else min(at, self.evaluate_at)
 
     def _release(self) -> None:
-        """SMF: of the earliest-due held commands, the one that adds least stall goes next."""
-        ready = deque(
-            sorted(
-                filter(self._is_next_for_key, self.waiting.values()),
-                key=lambda request: request.soft_deadline,
-            )
-        )
+        """SMF: of the earliest-due held requests, the one that adds least stall goes next. The choices of one
+        moment are bounded; the next goes on where this one stopped, so that none is starved."""
+        ready = self._in_turn()
         for pool in self.pools.values():
             self._gauge_pool(pool)
-        unplaceable = set[
-            tuple[int, int | None]
-        ]()  # profiles with no place left; within a release none comes free
-        placed = 0
-        while ready and placed < PLACED_AT_ONCE:  # the rest at the next moment: what has ended comes before
+        full = set[tuple[int, int | None]]()  # profiles with no place left: within a moment none comes free
+        choices = 0
+        while ready and choices < PLACED_AT_ONCE:
             sample = [ready.popleft() for _ in range(min(SAMPLE, len(ready)))]
             picked: tuple[float, int, Endpoint] | None = None
             for at, request in enumerate(sample):
-                placed += 1
-                place = (
-                    self._place(request)
-                    if request.attempts or (request.kind, request.cell) not in unplaceable
-                    else None
-                )
+                if not request.attempts and (request.kind, request.cell) in full:
+                    continue
+                choices += 1
+                place = self._place(request)
                 if place is None and not request.attempts:
-                    unplaceable.add((request.kind, request.cell))
+                    full.add((request.kind, request.cell))
                 elif place and (picked is None or place[0] < picked[0]):
                     picked = (place[0], at, place[3])
                 if picked and not picked[0]:
@@ -848,11 +841,20 @@
             if picked:  # otherwise held; later ones may still have room elsewhere
                 self._send(sample.pop(picked[1]), picked[2])
                 ready.extendleft(reversed(sample))
-        if ready:
+        self.postponed = [request.id for request in ready]
+        if self.postponed:
             self._plan_evaluation(self.now)
         if self.waiting:
             self._plan_evaluation(self.now + self.evaluation_interval)
 
+    def _in_turn(self) -> deque[Request]:
+        """Held requests that may go: those that the moment before did not come to, then by their due."""
+        before = [self.waiting[each] for each in self.postponed if each in self.waiting]
+        passed = set(self.postponed)
+        others = [request for request in self.waiting.values() if request.id not in passed]
+        others.sort(key=lambda request: request.soft_deadline)
+        return deque(filter(self._is_next_for_key, [*before, *others]))
+
     def _is_next_for_key(self, request: Request) -> bool:
         return request.key is None or (
             self.order_by_key[request.key][0] is request
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -543,3 +543,21 @@
     host.pass_time(5 * S)
     assert host.gateway.endpoints[silent].ejected_until is not None
     assert api.Cancel(command, 0) in host.log
+
+
+def test_many_held_commands_that_fit_nowhere_starve_no_other(host: Host) -> None:
+    """The choices of one moment are bounded: those that need no choice counted too, and the same each time."""
+    held = [host.take(profile=4, timeout=5 * S) for _ in range(100)]  # bound to a kind that is not there
+    command = host.take(timeout=6 * S)
+    assert not any(host.sends(each) for each in held) and len(host.sends(command)) == 1
+
+
+def test_held_commands_beyond_a_moments_choices_go_in_the_next() -> None:
+    host = Host()
+    commands = [host.take(group=group) for group in range(60)]  # no engine yet
+    host.engines(*(engine(name) for name in range(1, 9)))
+    host.pass_time(MS)
+    host.tell()
+    host.pass_time(MS)
+    host.tell()
+    assert all(host.sends(command) for command in commands)
