--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -546,7 +546,7 @@
 
 
 def test_many_held_commands_that_fit_nowhere_starve_no_other(host: Host) -> None:
-    """The choices of one moment are bounded: those that need no choice counted too, and the same each time."""
+    """The choices of a moment are bounded: those that need no choice counted too, and the same each time."""
     held = [host.take(profile=4, timeout=5 * S) for _ in range(100)]  # bound to a kind that is not there
     command = host.take(timeout=6 * S)
     assert not any(host.sends(each) for each in held) and len(host.sends(command)) == 1
