--- a/lotusstream/lab/scale/planted.py
+++ b/lotusstream/lab/scale/planted.py
@@ -18,7 +18,7 @@
 from lotusstream.policy import gateway
 from lotusstream.protocol import http
 
-DECISION_SECONDS = 0.002  # of the slow core, for each choice of a server: some five times what one takes
+DECISION_SECONDS = 0.004  # of the slow core, for each choice of a server
 DRAIN_DELAY = 3.0  # seconds
 DROPPED_EVERY = 20  # answers
 
--- a/lotusstream/net/engine.py
+++ b/lotusstream/net/engine.py
@@ -210,7 +210,10 @@
     def _may_leave(self, running: Running) -> bool:
         """Looked at last before the first byte, since a connection may have been long in coming up. Guards an
         engine that drains, or that has restarted cold under the same address, and clients that have gone:
-        also where the module may not cancel, for what never left is nothing to cancel."""
+        also where the module may not cancel, for what never left is nothing to cancel. And requests whose
+        time is over: the time-out around this comes only once something is waited for."""
+        if self._clock.now() >= running.start.ends_at:
+            return False
         return self.ready and running.incarnation == self._incarnation and running.start.owed()
 
     async def _ask(
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -118,12 +118,22 @@
 async def test_a_partition_that_heals_and_turns_over_every_second_for_a_minute(fleet):
     rig = await fleet(5, 5)
     await holder(rig)
-    for first in range(60):
-        rig.cut(*(rig.names[(first + at) % 5] for at in range(2)))
-        await asyncio.sleep(0.7)
-        rig.heal()
-        await asyncio.sleep(0.3)
-    assert len({act.token for act in rig.witness.acts}) > 1  # it did pass on
+
+    async def turn_over(turns: range) -> None:
+        for first in turns:
+            rig.cut(*(rig.names[(first + at) % 5] for at in range(2)))
+            await asyncio.sleep(0.7)
+            rig.heal()
+            await asyncio.sleep(0.3)
+
+    await turn_over(range(30))
+    act = await holder(rig)
+    # whether a lease passes on among short cuts is chance: once a cut is held until it has
+    rig.cut(act.holder, next(name for name in rig.names if name != act.holder))
+    passed_on = await next_holder(rig, act)
+    rig.heal()
+    assert passed_on.token > act.token
+    await turn_over(range(30, 60))
     act = await holder(rig)
     await rig.gateways[act.holder].kill()
     await next_holder(rig, act)
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -11,6 +11,7 @@
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 
@@ -112,6 +113,24 @@
     await supervisor.stop()
 
 
+async def test_an_attempt_whose_time_is_over_does_not_leave_on_a_connection_that_rests() -> None:
+    """Such a connection is had without a wait, and the time-out around it comes with the first wait only: on
+    a busy core requests were sent up to a fifth of a second after their end, told that 1 ms was left."""
+    stand_in, told, clock, supervisor = StandInEngine("s-1"), Line(), StillClock(), Supervisor()
+    await stand_in.start()
+    endpoint = ("127.0.0.1", stand_in.port)
+    actor = EngineActor(b"s-1", endpoint, SocketBudget(8), 250 * MS, 30 * S, clock, told.add, supervisor)
+    actor.start()
+    actor.post(start_send(0, clock))
+    await told.until(lambda fact: fact.number == 0)
+    clock.at += http.ECHO
+    actor.post(replace(start_send(1, clock), ends_at=clock.at))
+    ended = await told.until(lambda fact: fact.number == 1)
+    assert ended.outcome is api.Outcome.MOOT and len(stand_in.posts()) == 1
+    await supervisor.stop()
+    stand_in.die()
+
+
 @pytest.fixture
 async def waiting(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[Any]:
     """A send whose connection does not come up until `up` is set."""
--- a/tests/scale/test_many_servers.py
+++ b/tests/scale/test_many_servers.py
@@ -59,10 +59,9 @@
 
 
 async def test_a_gateway_whose_core_runs_out_refuses_in_time_and_goes_on_serving(tmp_path: Path) -> None:
-    """Each choice takes 2 ms of processor time, and three times as many requests come as can be decided. With
-    4 ms one moment of 24 choices took most of the 150 ms by which a deadline may be told too long."""
+    """Each choice takes 4 ms of processor time, and three times as many requests come as can be decided."""
     served = {}
-    for rate in (250, 750):
+    for rate in (150, 500):
         plan = Plan(servers=300, rate=rate, seconds=5, work=0.1, cores=4, planted="slow-core")
         rig = Rig(plan, tmp_path)
         try:
@@ -72,4 +71,4 @@
             served[rate] = sum(each.served for each in history.outcomes)
         finally:
             await rig.stop()
-    assert served[750] > 0.8 * served[250]
+    assert served[500] > 0.8 * served[150]
