The watch of the loop marks its own beginning: a wait in the first 50 ms counts too

Seen: beside 20 busy processes three requests were told 0.153 s too much; they counted from their read, 0.153 s after they were sent. Checked with a loop that is held for 0.2 s by a test: fails in the first 50 ms after a start and nowhere else. At fault: GatewayServer._watch had no mark before its first pause was over. Ruled out: the turns between accept and the first read (counting bytes that are there at the accept changed nothing; left out).

--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -184,6 +184,7 @@
         looked_at = self._clock.now()
         turns = deque([looked_at] * READ_TURNS, maxlen=READ_TURNS)
         busy = False
+        self._clock.watched(None)
         while True:
             pause = 0 if busy else WATCH_PAUSE
             await asyncio.sleep(pause / US)
