Review case 2: messages that do not end take the gateway over its memory

Cause: a client's receive buffer grows up to 256 KB, and nothing limits the sum over all connections.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -477,6 +477,15 @@
         """The exit status; None while it runs."""
         return None if self._process is None else self._process.poll()
 
+    def own_memory_mb(self) -> float:
+        """Returns the memory that the process holds, without files, in MB; 0 once it has ended."""
+        assert self._process is not None
+        with contextlib.suppress(OSError):
+            for line in Path(f"/proc/{self._process.pid}/status").read_text(encoding="ascii").splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) / 1024
+        return 0.0
+
     def kill(self) -> None:
         """Ends the process, if it runs."""
         if self._process is not None and self._process.poll() is None:
