Review case 2: a send held up by a cut runs a marked statement a second time

Cause: a call without an answer is ended by an ordinary close, so the system still delivers the POST after a cut, when the engines have forgotten the mark of the second send.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""Case 2: bad clients send messages that do not end, and the platform holds the limit on memory."""
+"""Case 2: the links to a fifth of the engines are cut for six seconds; requests carry marks."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import contextlib
 import itertools
 import random
-import subprocess
+import socket
 import sys
 from collections import Counter
 from pathlib import Path
@@ -16,56 +16,182 @@
 
 import stand_ins as s  # noqa: E402
 
-LIMITS = {"cores": 1.0, "sockets": 1024, "memory_mb": 64}
-BAD_CLIENTS = 320  # with the usual ones fewer than a third of the descriptors
-CLAIMED_BYTES, FIRST_BYTES = 262_000, 255_000  # the length that a message claims, and what is sent at once
-NEXT_BYTE_SECONDS = 0.2
-QUIET_SECONDS, TROUBLE_SECONDS = 3.0, 15.0
-SAMPLE_SECONDS = 0.02
-RATE = 20.0  # requests of the usual clients in a second
+RATE = 80.0  # requests in a second
+QUIET_SECONDS, CUT_SECONDS, END_SECONDS = 8.0, 6.0, 8.0
+ENGINES, CUT_ENGINES, CUTS = 10, 2, 2
+CLIENTS = 20  # connections, used in turn
 TTL_MS = 6000
-RUN_SECONDS = 0.2
-USUAL_CLIENTS = 5  # connections, used in turn
+WINDOW_SECONDS = 3.0  # in which engines drop the repeat of a mark
+RUN_SECONDS = (0.1, 0.5)
+
+
+class Effects:
+    """What all engines together have run, by mark, and the marks that they remember."""
+
+    def __init__(self, record: s.Record) -> None:
+        self.runs: dict[str, list[str]] = {}  # where and when the statement of a mark ran to its end
+        self._record = record
+        self._began_at: dict[str, float] = {}  # when the first of the runs that are remembered began, by mark
+
+    def drops(self, mark: str) -> bool:
+        """Returns whether a statement that comes now is a repeat, else remembers its mark."""
+        if s.now() - self._began_at.get(mark, 0.0) < WINDOW_SECONDS:
+            return True
+        self._began_at[mark] = s.now()
+        return False
+
+    def add(self, mark: str, uid: str) -> None:
+        """Records that an engine has run the statement of a mark to its end."""
+        self.runs.setdefault(mark, []).append(uid)
+        self._record.add(f"{uid} has run the statement of mark {mark}, run {len(self.runs[mark])}")
+
+
+class MarkingEngine(s.Engine):
+    """Runs a statement, unless its mark is remembered. A repeat gets the same result and runs nothing."""
+
+    def __init__(self, uid: str, kind: str, record: s.Record, effects: Effects) -> None:
+        super().__init__(uid, kind, "hall", run_statement, record)
+        self._effects = effects
+        self._records = record
+        self._runs: dict[str, str] = {}  # marks of statements that are about to begin, by the client's id
+
+    async def respond(self, call: s.Call, writer: asyncio.StreamWriter) -> None:
+        """Notes the run of a statement, and answers as usual."""
+        if call.method == "POST":
+            mark = call.headers["x-dedupe"]
+            if self._effects.drops(mark):
+                self._records.add(f"{self.uid} drops the repeat of mark {mark}")
+            else:
+                self._runs[call.headers["x-txn"]] = mark
+        await super().respond(call, writer)
+
+    def begun(self, query: s.Query) -> None:
+        """Notes the run when it ends, unless it is given up before."""
+        mark = self._runs.pop(query.call, None)
+        if mark is not None:
+            asyncio.get_running_loop().call_at(
+                asyncio.get_running_loop().time() + query.ends_at - s.now(), self._end, query, mark
+            )
+
+    def _end(self, query: s.Query, mark: str) -> None:
+        if not query.given_up:
+            self._effects.add(mark, self.uid)
 
 
 def run_statement(statement: str) -> tuple[float, list[bytes]]:
     """Returns how long a statement runs, and the pages of its result."""
-    return RUN_SECONDS, [f"{statement[-16:]}\tx\ty\n".encode()]
+    call = statement[-16:]
+    return random.Random(call).uniform(*RUN_SECONDS), [f"{call}\tx\ty\n".encode()]
+
 
+class Link:
+    """The network between a gateway and one engine.
 
-class Platform:
-    """Kills the gateway when it holds more memory than the limit. Counts only memory of its own, no files."""
+    While it is cut, open connections are silent and new ones never come up. What was sent before or meanwhile
+    arrives after the cut, as TCP does it, also if the sender has closed the connection since; what a sender
+    has reset does not.
+    """
 
-    def __init__(self, gateway: s.Gateway, record: s.Record) -> None:
-        self._gateway = gateway
+    def __init__(self, engine: s.Engine, record: s.Record) -> None:
+        self.port = 0
+        self._engine = engine
         self._record = record
-        self.most_mb = 0.0
-        self.has_killed = False
-
-    async def watch(self) -> None:
-        """Samples the memory until the gateway ends."""
-        said_mb = 0.0
-        while self._gateway.exit_status is None:
-            held_mb = self._gateway.own_memory_mb()
-            self.most_mb = max(self.most_mb, held_mb)
-            if self.most_mb > said_mb + 4:
-                said_mb = self.most_mb
-                self._record.add(f"the gateway holds {held_mb:.1f} MB")
-            if held_mb > LIMITS["memory_mb"]:
-                self._record.add("the platform kills the gateway")
-                self.has_killed = True
-                self._gateway.kill()
+        self._listener = socket.socket()
+        self._is_whole = asyncio.Event()
+        self._is_whole.set()
+        self._fillers: list[socket.socket] = []  # while cut, they fill the queue of new connections
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Listens on a free port."""
+        self._listener.bind((s.HOST, 0))
+        self._listener.listen(128)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._start(self._accept())
+
+    def _start(self, work: object) -> None:
+        task = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def cut(self) -> None:
+        """Cuts the link."""
+        self._record.add(f"the link to {self._engine.uid} is cut")
+        self._is_whole.clear()
+        self._listener.listen(0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((s.HOST, self.port))
+            self._fillers.append(filler)
+
+    def heal(self) -> None:
+        """Ends the cut."""
+        self._record.add(f"the link to {self._engine.uid} is whole")
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._listener.listen(128)
+        self._is_whole.set()
+
+    def close(self) -> None:
+        """Ends all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        self._listener.close()
+
+    async def _accept(self) -> None:
+        while True:
+            await self._is_whole.wait()
+            await _until_readable(self._listener)
+            if self._is_whole.is_set():
+                with contextlib.suppress(BlockingIOError):
+                    accepted, _ = self._listener.accept()
+                    accepted.setblocking(False)
+                    self._start(self._relay(accepted))
+
+    async def _relay(self, gateway: socket.socket) -> None:
+        engine = socket.socket()
+        engine.setblocking(False)
+        with gateway, engine, contextlib.suppress(OSError):
+            await asyncio.get_running_loop().sock_connect(engine, (s.HOST, self._engine.port))
+            engine.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            gateway.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await asyncio.gather(self._pass_on(gateway, engine), self._pass_on(engine, gateway))
+
+    async def _pass_on(self, source: socket.socket, target: socket.socket) -> None:
+        """Passes bytes on until the source closes. While the link is cut, they stay unread."""
+        while True:
+            await _until_readable(source)
+            await self._is_whole.wait()
+            if error := source.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                raise OSError(error, "reset")  # what was under way is gone
+            if not (data := source.recv(65536)):
+                target.shutdown(socket.SHUT_WR)
                 return
-            await asyncio.sleep(SAMPLE_SECONDS)
+            await asyncio.get_running_loop().sock_sendall(target, data)
+
+
+async def _until_readable(sock: socket.socket) -> None:
+    loop = asyncio.get_running_loop()
+    readable = loop.create_future()
+    loop.add_reader(sock, lambda: readable.done() or readable.set_result(None))
+    try:
+        await readable
+    finally:
+        if sock.fileno() >= 0:
+            loop.remove_reader(sock)
 
 
 async def ask(record: s.Record, client: s.Client, call: str, results: Counter[str]) -> None:
-    """A usual client: sends one request."""
+    """Sends one request, once, with a mark of its own."""
     record.add(f"client sends {call}")
     try:
         async with asyncio.timeout(TTL_MS / 1000 + 1):
-            fields = s.request_fields("lookup", call, TTL_MS, 200.0)
-            kind = (await client.ask(fields, f"SELECT a, b, c FROM sales_3.orders -- {call}")).kind
+            fields = s.request_fields("lookup", call, TTL_MS, 300.0, dedupe=call)
+            group = int(call, 16) % 40
+            kind = (await client.ask(fields, f"INSERT INTO sales_{group}.orders VALUES (1) -- {call}")).kind
     except (TimeoutError, s.ClientGoneError):
         kind = "nothing"
     record.add(f"client {call} got {kind}")
@@ -74,73 +200,57 @@
 
 async def play(record: s.Record, folder: Path) -> int:
     """Plays the case and returns its exit status."""
-    board = s.Board()
-    engines = [s.Engine(f"e-{n}", "c12" if n % 2 else "c8", "hall", run_statement, record) for n in range(6)]
+    board, effects = s.Board(), Effects(record)
+    engines = [MarkingEngine(f"e-{n}", "c12" if n % 2 else "c8", record, effects) for n in range(ENGINES)]
+    links = [Link(engine, record) for engine in engines]
     gateway = s.Gateway("g1", folder)
-    bad: subprocess.Popen[bytes] | None = None
     results: Counter[str] = Counter()
     try:
         for server in (board, *engines):
             await server.start()
-        board.publish([engine.entry() for engine in engines], whole=True)
-        gateway.configure(board, s.small_deployment(), LIMITS)
+        for link in links:
+            link.start()
+        entries = [
+            e.entry() | {"endpoint": f"{s.HOST}:{link.port}"} for e, link in zip(engines, links, strict=True)
+        ]
+        board.publish(entries, whole=True)
+        settings = s.small_deployment()
+        settings["request_classes"][0] |= {"effect": "by_key", "window": int(WINDOW_SECONDS * 1000) * s.MS}
+        settings["specifics"]["progress_pace"] = 0
+        gateway.configure(board, settings, s.LIMITS)
         gateway.start()
         await gateway.until_ready()
-        platform = Platform(gateway, record)
-        watching = asyncio.create_task(platform.watch())
-        clients = [await s.Client().connect(gateway.port) for _ in range(USUAL_CLIENTS)]
+        clients = [await s.Client().connect(gateway.port) for _ in range(CLIENTS)]
+        loop = asyncio.get_running_loop()
+        if s.has_trouble():
+            for n in range(CUTS):
+                begins = QUIET_SECONDS + n * (QUIET_SECONDS + CUT_SECONDS)
+                for link in links[n * CUT_ENGINES : (n + 1) * CUT_ENGINES]:
+                    loop.call_later(begins, link.cut)
+                    loop.call_later(begins + CUT_SECONDS, link.heal)
         draw, numbers = random.Random(1), itertools.count(1)
-        began = s.now()
+        end = s.now() + CUTS * (QUIET_SECONDS + CUT_SECONDS) + END_SECONDS
         tasks = []
-        while s.now() < began + QUIET_SECONDS + TROUBLE_SECONDS and gateway.exit_status is None:
-            if bad is None and s.has_trouble() and s.now() > began + QUIET_SECONDS:
-                bad = subprocess.Popen([sys.executable, __file__, "bad clients", str(gateway.port)])
-                record.add(f"{BAD_CLIENTS} bad clients begin")
+        while s.now() < end:
             number = next(numbers)
-            client = clients[number % USUAL_CLIENTS]
+            client = clients[number % CLIENTS]
             tasks.append(asyncio.create_task(ask(record, client, f"{number:016x}", results)))
             await asyncio.sleep(draw.expovariate(RATE))
         await asyncio.gather(*tasks)
-        has_crashed = gateway.exit_status is not None
-        watching.cancel()
     finally:
-        if bad is not None:
-            bad.kill()
-            bad.wait()
         gateway.kill()
+        for link in links:
+            link.close()
         for server in (board, *engines):
             server.close()
-    killed = "killed for memory" if platform.has_killed else "not killed"
-    record.say(
-        f"the gateway held {platform.most_mb:.1f} MB at most, {killed}; usual clients: {dict(results)}"
-    )
-    return s.BROKEN if has_crashed else s.HELD
-
-
-async def bad_client(port: int) -> None:
-    """Sends a message that does not end, and again on a new connection after a close."""
-    message = s.process_message(1, s.request_fields("lookup", "0" * 16, TTL_MS, 50.0), b" " * CLAIMED_BYTES)
-    while True:
-        with contextlib.suppress(OSError):
-            reader, writer = await asyncio.open_connection(s.HOST, port)
-            writer.write(message[:FIRST_BYTES])
-            for byte in message[FIRST_BYTES:-1]:
-                await writer.drain()
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(reader.read(1), NEXT_BYTE_SECONDS)
-                if reader.at_eof():
-                    break
-                writer.write(bytes([byte]))
-            writer.close()
-        await asyncio.sleep(0.05)
-
-
-async def bad_clients(port: int) -> None:
-    """Runs all bad clients until the process is ended."""
-    await asyncio.gather(*[bad_client(port) for _ in range(BAD_CLIENTS)])
+    twice = {mark: runs for mark, runs in effects.runs.items() if len(runs) > 1}
+    for mark, runs in twice.items():
+        record.add(f"TWICE: the statement of mark {mark} ran at {' and '.join(runs)}")
+    record.say(f"answers: {dict(results)}; {len(effects.runs)} marks run, {len(twice)} of them twice")
+    if results["served"] < len(tasks) / 2:
+        return s.NOT_RUN
+    return s.BROKEN if twice else s.HELD
 
 
 if __name__ == "__main__":
-    if sys.argv[1:2] == ["bad clients"]:
-        asyncio.run(bad_clients(int(sys.argv[2])))
     sys.exit(s.run_case(FOLDER, play))
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -197,7 +197,7 @@
         self.posts: list[tuple[float, str]] = []  # when each statement came whole, and the client's id
         self._run = run
         self._record = record
-        self._queries: dict[str, Query] = {}
+        self.queries: dict[str, Query] = {}
 
     def entry(self, state: str = "ready", boot_ms: int = 0) -> dict[str, Any]:
         """Returns its entry in the list."""
@@ -211,12 +211,12 @@
             await self._tell_news(query, writer)
             return
         parts = call.path.split("/")
-        found = self._queries.get(parts[2])
+        found = self.queries.get(parts[2])
         if call.method == "DELETE":
             if found is not None:
                 found.given_up = True
                 found.changed.set()
-                del self._queries[parts[2]]
+                del self.queries[parts[2]]
                 self._record.add(f"{self.uid} DELETE {parts[2]}")
             await self.write(answer(204), None, writer)
         elif call.method == "PUT":
@@ -234,11 +234,15 @@
         seconds, pages = self._run(statement)
         limit = now() + int(call.headers["x-limit-ms"]) / 1000
         query = Query(identity, statement, limit, now() + seconds, pages, now())
-        self._queries[identity] = query
+        self.queries[identity] = query
+        self.begun(query)
         self.posts.append((now(), identity))
         self._record.add(f"{self.uid} POST {identity} {call.headers['x-lane']} {statement[:60]}")
         return query
 
+    def begun(self, query: Query) -> None:
+        """Called when a statement begins to run."""
+
     async def _tell_news(self, query: Query, writer: asyncio.StreamWriter) -> None:
         if not query.has_ended():
             if now() - query.asked_at > FORGET_SECONDS or now() > query.limit:
