--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -355,6 +355,7 @@
         self._seqid = 0
         self._waiting: dict[int, asyncio.Future[Reply]] = {}
         self.duplicates = 0  # second answers
+        self.has_ended = False  # whether the gateway has closed the connection
 
     async def connect(self, port: int) -> Client:
         """Opens the connection."""
@@ -373,6 +374,7 @@
                     self.duplicates += 1
                 elif not future.done():
                     future.set_result(reply)
+        self.has_ended = True
         for future in self._waiting.values():
             if not future.done():
                 future.set_exception(ClientGoneError())
