Reply to every open request at a shutdown whose process stood still

Cause: drain ended at its deadline with requests open; after a stall its check came before the decider's timer, and stop cancelled decider and writers. Change: after the deadline drain goes on while there is open work, for 20 checks. Checks are counted, so a stall uses none of them.

--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -33,6 +33,9 @@
 ARRIVAL_GRACE_US = 600 * MS  # time after the start of a shutdown in which clients still send requests
 MAX_CLIENT_WAIT_US = 3000 * MS  # longest wait for replies after ARRIVAL_GRACE_US
 DRAIN_POLL_S = 0.01  # between two checks for open work during a shutdown
+# Checks for open work after the deadline of a shutdown. Counted in checks, not in time: if the process stood
+# still until after the deadline, the last replies are decided and written only once it runs again.
+MAX_LATE_POLL_COUNT = 20
 ACCEPT_PAUSE_S = 0.01  # pause after an accept that failed for lack of a resource
 LISTEN_BACKLOG = 1024
 OWN_DESCRIPTOR_COUNT = 16  # descriptors of the process, the event loop, the listener and discovery
@@ -232,7 +235,7 @@
 
     async def drain(self) -> None:
         """Runs a graceful shutdown: requests are still admitted. Returns once all have been answered and
-        their replies written, or at the shutdown's deadline."""
+        their replies written, or MAX_LATE_POLL_COUNT checks after the shutdown's deadline."""
         self._client_limiter.stopping = True
         if self._subsystems is not None:
             self._subsystems.begin_shutdown()
@@ -241,10 +244,13 @@
         longest_timeout = max(profile.client_timeout for profile in profiles)
         deadline = began + min(longest_timeout, MAX_CLIENT_WAIT_US) + ARRIVAL_GRACE_US
         self._decider.post(api.ShutdownStarted(deadline))
-        while (now := self._clock.now()) < deadline:
+        late_poll_count = 0
+        while late_poll_count < MAX_LATE_POLL_COUNT:
+            now = self._clock.now()
             has_open_work = self._has_open_work()
             if now >= began + MIN_DRAIN_US and not has_open_work:
                 break
+            late_poll_count += now >= deadline
             await asyncio.sleep(DRAIN_POLL_S)
 
     def _has_open_work(self) -> bool:
