--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -123,6 +123,7 @@
         self._is_call_aborted = False
         self.closed = False
         self.idle_since = 0  # time at which it last became idle, microseconds; 0: never
+        self.received_at = 0.0  # when bytes last arrived, seconds of the event loop's clock; 0: never
 
     @classmethod
     async def open(
@@ -208,6 +209,7 @@
         count = await loop.sock_recv_into(self._sock, self._buffer.space())
         if not count:
             raise CallBrokenError("connection closed before the response was complete")
+        self.received_at = loop.time()
         self._buffer.filled(count)
         data = self._buffer.data()
         self._buffer.consume(len(data))
--- a/tests/net/test_statement_search.py
+++ b/tests/net/test_statement_search.py
@@ -22,8 +22,8 @@
 
 @pytest.mark.parametrize("piece", ADVERSARIAL_PIECES)
 def test_slices_of_a_search_cost_little_and_their_number_grows_linearly(piece: str) -> None:
-    """One long statement held the event loop for 0.13 s. A slice must end near the cost that it was given, and
-    a statement of twice the length must take about twice as many."""
+    """One long statement held the event loop for 0.13 s. A slice must end near the cost that it was given,
+    and a statement of twice the length must take about twice as many slices."""
 
     def slice_count(length: int) -> int:
         search, count = TableGroupSearch(long_statement(piece, length)), 1
