Cancel an attempt whose call times out at the same moment

What callers saw: a cancelled attempt went on at its endpoint, and the gateway logged a traceback. Both timers become due in one step of the event loop when the process has stood still. Change: abort_call leaves an expired call alone. The soak reports whole tracebacks; its check is as strict.

--- a/lotusstream/lab/soak/log_check.py
+++ b/lotusstream/lab/soak/log_check.py
@@ -36,7 +36,8 @@
 
 
 def faults_in_log(lines: Sequence[str], is_allowed: Callable[[str], bool]) -> list[str]:
-    """Returns the log lines that report a fault: each broken invariant and each traceback.
+    """Returns the log lines that report a fault: each broken invariant and each traceback. A traceback is
+    returned as one text, with the line before it.
 
     A late reply is no fault if the line before it names its request and `is_allowed` returns True for that
     request id. The counter of late replies, which a gateway prints when it ends, is no fault if it equals the
@@ -46,12 +47,25 @@
     counters = [LATE_REPLY_COUNTER.fullmatch(line) for line in lines]
     reports = sum(line.startswith("broken invariant") for line in lines) - sum(map(bool, counters))
     faults, allowed = [], 0
-    for before, line, counter in zip(["", *lines], lines, counters, strict=False):
+    for number, (before, line, counter) in enumerate(zip(["", *lines], lines, counters, strict=False)):
         late_request = UNANSWERED_LINE.match(before) if line == LATE_REPLY_LINE else None
         if late_request is not None and reports < LOG_LINES_PER_KIND and is_allowed(late_request[1]):
             allowed += 1
         elif counter is not None and int(counter[1]) == allowed:
             continue
-        elif line.startswith("broken invariant") or "Traceback" in line:
+        elif line.startswith("broken invariant"):
             faults.append(line)
+        elif "Traceback" in line:
+            faults.append(_whole_traceback(before, lines[number:]))
     return faults
+
+
+def _whole_traceback(before: str, lines: Sequence[str]) -> str:
+    """Joins the traceback at the start of `lines` and the line before it, which names what failed.
+
+    The error is the first line of a traceback after its head that is not indented.
+    """
+    end = next(
+        (number for number, line in enumerate(lines) if number and not line.startswith(" ")), len(lines)
+    )
+    return "\n".join([before, *lines[: end + 1]])
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -229,8 +229,9 @@
         return len(self._results) >= MAX_RESULTS_PER_CONNECTION
 
     def abort_call(self) -> None:
-        """Ends the call in progress with CallAbortedError, if there is one."""
-        if self._call_limit is None or self._is_call_aborted:
+        """Ends the call in progress with CallAbortedError, if there is one. Has no effect on a call whose
+        time limit has just expired: it ends with CallTimeoutError."""
+        if self._call_limit is None or self._call_limit.expired() or self._is_call_aborted:
             return
         self._is_call_aborted = True
         self._call_limit.reschedule(asyncio.get_running_loop().time())
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -218,13 +218,14 @@
 
 @pytest.fixture
 async def unreachable() -> AsyncIterator[Any]:
-    """An attempt without hedging whose connection broke and whose endpoint refuses new connections."""
+    """An attempt without hedging whose connection broke and whose endpoint refuses new connections. The
+    timeout for connecting, also the pause between two calls, is long enough for a busy machine."""
     stand_in, reports, supervisor, clock = StandInEndpoint("s-1"), EventLog(), Supervisor(), ManualClock()
     await stand_in.start()
     stand_in.behavior, budget = "is silent", SocketBudget(8)
     endpoint = ("127.0.0.1", stand_in.port)
     actor = EndpointActor(
-        b"s-1", endpoint, budget, 1 * MS, 30 * S, clock, reports.add, supervisor, allows_hedging=False
+        b"s-1", endpoint, budget, 250 * MS, 30 * S, clock, reports.add, supervisor, allows_hedging=False
     )
     actor.start()
     actor.post(run_attempt(0, clock))
--- a/tests/net/test_withdrawn_calls.py
+++ b/tests/net/test_withdrawn_calls.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 from dataclasses import replace
 from pathlib import Path
@@ -105,6 +106,25 @@
     assert ended.outcome is api.Outcome.CANCELLED
 
 
+async def test_attempt_is_cancelled_although_its_call_times_out_at_the_same_moment(
+    linked: LinkedEndpoint,
+) -> None:
+    """The process stands still while the call times out and the cancellation becomes due. Aborting a call
+    whose time limit had just expired raised an error, and no cancellation was sent."""
+    loop = asyncio.get_running_loop()
+    posted = linked.supervisor.counters["sends posted"]
+    linked.actor.post(replace(run_attempt(9, linked.clock), deliver_by=linked.clock.at + 200 * MS))
+    while linked.supervisor.counters["sends posted"] == posted:
+        await asyncio.sleep(0)
+    loop.call_later(0.05, time.sleep, 0.3)
+    loop.call_later(0.10, linked.actor.post, AbortAttempt(1, 9))
+    ended = asyncio.create_task(linked.reports.until(lambda report: report.attempt == 9))
+    await asyncio.sleep(0.4)
+    assert await linked.received_after_repair() == []
+    assert (await ended).outcome is api.Outcome.CANCELLED
+    assert linked.supervisor.counters["failed tasks"] == 0
+
+
 async def test_attempt_past_its_deadline_does_not_reach_the_endpoint_later(linked: LinkedEndpoint) -> None:
     """The deadline of the attempt passes during the cut."""
     linked.actor.post(replace(run_attempt(9, linked.clock), deadline=linked.clock.at + 50 * MS))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -132,6 +132,14 @@
     assert faults_in_log([unanswered, late, f"{late} 1"], lambda _: False) == [late, f"{late} 1"]
     assert faults_in_log([f"{late} 1"], lambda _: True) == [f"{late} 1"]
     assert faults_in_log(["Traceback (most recent call last):"], lambda _: True) != []
+    failure = [
+        "failed: engine s-1",
+        "Traceback (most recent call last):",
+        "  File",
+        "    raise",
+        "ValueError: bad",
+    ]
+    assert faults_in_log(["list: ignored", *failure, "ready"], lambda _: True) == ["\n".join(failure)]
 
 
 async def request_at_shutdown(gateway_runs: float, clients_run: float) -> Outcome:
