Let received bytes, statements and unread replies share one part of the memory

What callers saw: 320 connections with messages that never end took a gateway with 64 MB to 104 MB within a second; the platform kills it, with all open requests. Cause: receive buffers had a limit each and none together. A closed connection also stayed in memory until a full garbage collection, as its cancelled task kept it in a reference cycle. Change: ClientMemory, a quarter of the memory, with a part for each use. A client without memory closes those that have sent fewer valid messages, or waits; ClientReceiver does the reading. Actor.stop drops its task.

--- a/lotusstream/net/actor.py
+++ b/lotusstream/net/actor.py
@@ -119,6 +119,8 @@
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
+            # A cancelled task keeps its traceback, and this actor with it, in a reference cycle.
+            self._task = None
 
     def post(self, message: Message) -> None:
         """Queues a message for `receive`."""
--- a/lotusstream/net/buffer.py
+++ b/lotusstream/net/buffer.py
@@ -19,6 +19,15 @@
         self._start = 0
         self._end = 0
 
+    def next_growth(self) -> int:
+        """Returns the bytes by which the next call of `space` changes the size: negative if it shrinks the
+        buffer."""
+        if self._start == self._end:
+            return self._initial_bytes - len(self._bytes)
+        if self._end < len(self._bytes) or self._start:
+            return 0
+        return min(self._max_bytes, 2 * len(self._bytes)) - len(self._bytes)
+
     def space(self) -> memoryview:
         """Returns free space to receive into; call `filled` afterwards. Raises BufferFullError."""
         if self._start == self._end:
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -6,21 +6,21 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from thrift.Thrift import TApplicationException
 
 from lotusstream.deployment import Deployment
 from lotusstream.net.actor import Actor, Supervisor
-from lotusstream.net.buffer import Buffer, BufferFullError
-from lotusstream.net.client_limits import ClientConnectionLimiter, UnreadReplies
+from lotusstream.net.buffer import BufferFullError
+from lotusstream.net.client_limits import ClientConnectionLimiter
+from lotusstream.net.client_memory import ClientMemory, MemoryBudgetError, MemoryUse
+from lotusstream.net.client_receiver import ClientReceiver
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import has_readable_bytes
 from lotusstream.net.statement_search import StatementSearch, TooManySearchesError
 from lotusstream.protocol import front
 
-INITIAL_BUFFER_BYTES = 4096
-
 
 @dataclass(slots=True, eq=False)
 class ReceivedRequest:
@@ -37,6 +37,10 @@
     sent_at: int
     tenant: str | None = None  # None: the request belongs to no tenant
     closed: bool = False  # whether it was answered or its client has stopped waiting
+    statement_bytes: int = field(init=False)  # length of the statement that it had when it was received
+
+    def __post_init__(self) -> None:
+        self.statement_bytes = len(self.statement)
 
     def is_awaited(self) -> bool:
         """Whether the client still waits for the answer. Also False if the client has closed its connection
@@ -82,28 +86,24 @@
         clock: Clock,
         report: ReportClientEvent,
         is_healthy: Callable[[], bool],
-        unread: UnreadReplies,
+        memory: ClientMemory,
         limiter: ClientConnectionLimiter,
         statement_search: StatementSearch,
         supervisor: Supervisor,
         tenant_of: TenantLookup | None = None,
     ) -> None:
-        """
-        :param report: called with each request, and again if the client stops waiting for it.
-        :param is_healthy: returns the answer to health probes.
-        :param limiter: must have admitted this connection before `serve` is called.
-        :param tenant_of: None where the operator file declares no tenants.
-        """
+        """`report`: called with each request, and again if the client stops waiting for it. `is_healthy`:
+        returns the answer to health probes. `limiter`: must have admitted this connection before `serve`.
+        `tenant_of`: None where the operator file declares no tenants."""
         super().__init__("client", supervisor)
         self.open_requests: dict[int, ReceivedRequest] = {}  # by sequence number
-        # When the first bytes of an incomplete message arrived, microseconds; None: there is none.
-        self.partial_since: int | None = None
         self._sock = sock
         self._deployment = deployment
         self._clock = clock
         self._report = report
         self._is_healthy = is_healthy
-        self._unread = unread
+        self._account = memory.open_account(sock)
+        self._receiver = ClientReceiver(sock, self._account)
         self._limiter = limiter
         self._statement_search = statement_search
         self._tenant_of = tenant_of
@@ -111,27 +111,31 @@
         self._is_writing = False
         self._is_handling = False  # whether a message is being handled, which may take several iterations
 
+    @property
+    def partial_since(self) -> int | None:
+        """When the first bytes of an incomplete message arrived, microseconds; None: there is none."""
+        return self._receiver.partial_since
+
     def post(self, message: ClientReply) -> None:
         """Queues a reply, unless the connection is being closed."""
-        if not self._is_closing:
+        if self._is_closing:
+            return
+        with contextlib.suppress(MemoryBudgetError):  # the connection is closed then
+            self._account.reserve(MemoryUse.REPLIES, len(message.frame))
             super().post(message)
-            self._unread.add(self, len(message.frame))
-
-    def disconnect(self) -> None:
-        """Disconnects a client that reads its replies too slowly."""
-        self.supervisor.counters.add("client connections cut off")
-        self.shutdown()
 
     def half_close(self, even_if_unread: bool = False) -> bool:
         """Half-closes the connection. Bytes that arrive later are read and dropped until the client closes.
 
         :param even_if_unread: also half-closes if received bytes have not been read yet.
         :returns: False if nothing was changed, because a request is open, a reply is being written, or
-            received bytes are unread or being handled.
+            received bytes are unread or being handled. Bytes for which there is no memory don't count.
         """
         if self.open_requests or self._is_handling or self._is_writing or len(self.mailbox):
             return False
-        if self.has_unread_bytes() and not even_if_unread:
+        if self._receiver.is_waiting:
+            self._receiver.is_stopped = True
+        elif self.has_unread_bytes() and not even_if_unread:
             return False
         self._is_closing = True
         with contextlib.suppress(OSError):
@@ -175,27 +179,25 @@
             for request in self.open_requests.values():
                 self._abandon(request)
             self.open_requests.clear()
-            self._unread.forget(self)
+            self._account.forget()
             await self.stop()
             self._sock.close()
             self._limiter.release(self)
 
     async def _read_messages(self) -> None:
-        buffer = Buffer(INITIAL_BUFFER_BYTES, front.FRAME.size + front.MAX_FRAME_BYTES)
-        loop = asyncio.get_running_loop()
-        while count := await loop.sock_recv_into(self._sock, buffer.space()):
+        while count := await self._receiver.receive():
             # Bytes that arrive after the half-close are dropped: the client resends the request elsewhere.
             if not self._is_closing:
                 arrived_at = self._clock.now()
-                buffer.filled(count)
-                has_message = await self._handle_frames(buffer, arrived_at)
-                self._track_partial_message(buffer, has_message, arrived_at)
+                self._receiver.keep(count)
+                has_message = await self._handle_frames(arrived_at)
+                self._receiver.track_partial_message(has_message, arrived_at)
             await asyncio.sleep(0)  # keeps a client that sends without pause from starving other connections
 
-    async def _handle_frames(self, buffer: Buffer, arrived_at: int) -> bool:
+    async def _handle_frames(self, arrived_at: int) -> bool:
         """Handles all complete frames. Returns whether there was at least one."""
         has_frame = False
-        while (frame := _next_frame(buffer)) is not None:
+        while (frame := self._receiver.next_frame()) is not None:
             has_frame = self._is_handling = True
             try:
                 await self._handle(frame, arrived_at)
@@ -204,12 +206,6 @@
             self._update_limiter()
         return has_frame
 
-    def _track_partial_message(self, buffer: Buffer, has_message: bool, arrived_at: int) -> None:
-        if not len(buffer):
-            self.partial_since = None
-        elif has_message or self.partial_since is None:
-            self.partial_since = arrived_at
-
     def _abandon(self, request: ReceivedRequest) -> None:
         """Closes the request at once, so that no attempt of it starts before the decider reads the report."""
         request.closed = True
@@ -232,13 +228,13 @@
         if request is not None:
             # The client may have reused the sequence number for another request.
             if self.open_requests.get(request.seqid) is not request:
-                self._unread.acknowledge(self, len(message.frame))
+                self._account.release(MemoryUse.REPLIES, len(message.frame))
                 return
-            del self.open_requests[request.seqid]
+            self._remove_request(request.seqid)
         self._is_writing = True
         try:
             await asyncio.get_running_loop().sock_sendall(self._sock, message.frame)
-            self._unread.acknowledge(self, len(message.frame))
+            self._account.release(MemoryUse.REPLIES, len(message.frame))
         except OSError:
             self.shutdown()
         except Exception:
@@ -259,6 +255,7 @@
             if error.fault is not None:
                 self.post(ClientReply(error.fault))
             return
+        self._account.valid_message_count += 1
         match message:
             case front.HealthProbe():
                 self._on_health_probe(message)
@@ -271,10 +268,16 @@
         self.post(ClientReply(front.encode_answer("probe", probe.seqid, b"", self._is_healthy())))
 
     def _on_cancel_request(self, cancel: front.CancelRequest) -> None:
-        request = self.open_requests.pop(cancel.seqid, None)
+        request = self._remove_request(cancel.seqid)
         if request is not None:
             self._abandon(request)
 
+    def _remove_request(self, seqid: int) -> ReceivedRequest | None:
+        request = self.open_requests.pop(seqid, None)
+        if request is not None:
+            self._account.release(MemoryUse.STATEMENTS, request.statement_bytes)
+        return request
+
     async def _on_process_request(self, message: front.ProcessRequest, arrived_at: int) -> None:
         """Reports the request, or replies with a fault or a rejection. Raises FrameError if its sequence
         number is in use."""
@@ -282,7 +285,7 @@
             raise front.FrameError(f"sequence number {message.seqid} belongs to a request that is still open")
         try:
             request = await self._read_request(message, arrived_at)
-        except TooManySearchesError:
+        except (TooManySearchesError, MemoryBudgetError):
             self.supervisor.counters.add("commands past the limits")
             self.post(ClientReply(front.encode_rejection(message.seqid, 0)))
             return
@@ -296,11 +299,21 @@
         self._report(request)
 
     async def _read_request(self, message: front.ProcessRequest, arrived_at: int) -> ReceivedRequest:
-        """Validates a request message. Raises RequestFormatError, UnicodeDecodeError or
-        TooManySearchesError."""
+        """Validates a request message. Raises RequestFormatError, UnicodeDecodeError, TooManySearchesError or
+        MemoryBudgetError."""
         if len(self.open_requests) >= front.MAX_OPEN_REQUEST_COUNT:
             raise front.RequestFormatError("too many open")
         fields = front.parse_request_fields(message.fields, self._deployment)
+        self._account.reserve(MemoryUse.STATEMENTS, len(message.body))
+        try:
+            return await self._make_request(message, fields, arrived_at)
+        except BaseException:
+            self._account.release(MemoryUse.STATEMENTS, len(message.body))
+            raise
+
+    async def _make_request(
+        self, message: front.ProcessRequest, fields: front.RequestFields, arrived_at: int
+    ) -> ReceivedRequest:
         statement = message.body.decode()
         self._limiter.mark_busy(self)
         group = await self._statement_search.table_group(statement)
@@ -312,14 +325,3 @@
         sent_at = min(arrived_at, self._clock.earliest_arrival())
         deadline = sent_at + fields.time_left
         return ReceivedRequest(self, message.seqid, fields, group, message.body, deadline, sent_at, tenant)
-
-
-def _next_frame(buffer: Buffer) -> bytes | None:
-    """Consumes and returns the next complete frame; None if it is incomplete. Raises FrameError."""
-    data = buffer.data()
-    length = front.frame_length(data)
-    if length is None or len(buffer) < front.FRAME.size + length:
-        return None
-    frame = bytes(data[front.FRAME.size : front.FRAME.size + length])
-    buffer.consume(front.FRAME.size + length)
-    return frame
--- a/lotusstream/net/client_limits.py
+++ b/lotusstream/net/client_limits.py
@@ -1,4 +1,4 @@
-"""Limits on client connections: how many may be open, and how many bytes of replies they may leave unread."""
+"""Limits how many client connections may be open."""
 
 from __future__ import annotations
 
@@ -14,35 +14,6 @@
 FIRST_MESSAGE_WAIT_US = front.FIRST_MESSAGE_TIMEOUT_US * 2 // 3  # longest wait for a complete message
 
 
-class UnreadReplies:
-    """Counts the bytes of replies that are queued but not written yet. Bounds the memory that slow readers
-    use: above the limit, the client with the most unread bytes is disconnected and its requests abandoned."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
-        self.total = 0  # bytes of unwritten replies to all clients
-        self._bytes_by_client: dict[ClientConnection, int] = {}
-
-    def add(self, client: ClientConnection, size: int) -> None:
-        """Counts a queued reply of `size` bytes."""
-        self._bytes_by_client[client] = self._bytes_by_client.get(client, 0) + size
-        self.total += size
-        while self.total > self._max_bytes:
-            slowest = max(self._bytes_by_client, key=self._bytes_by_client.__getitem__)
-            self.forget(slowest)
-            slowest.disconnect()
-
-    def acknowledge(self, client: ClientConnection, size: int) -> None:
-        """Subtracts a reply of `size` bytes that was written or dropped."""
-        if client in self._bytes_by_client:
-            self._bytes_by_client[client] -= size
-            self.total -= size
-
-    def forget(self, client: ClientConnection) -> None:
-        """Subtracts all unread bytes of a client, because nothing more is written to it."""
-        self.total -= self._bytes_by_client.pop(client, 0)
-
-
 class ClientConnectionLimiter:
     """Limits the descriptors that clients hold, so that idle connections don't lock out other clients.
 
--- /dev/null
+++ b/lotusstream/net/client_receiver.py
@@ -0,0 +1,81 @@
+"""Receives the frames of one client within the memory that all clients share."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from lotusstream.net.buffer import Buffer
+from lotusstream.net.client_memory import ClientAccount, MemoryBudgetError, MemoryUse
+from lotusstream.protocol import front
+
+INITIAL_BUFFER_BYTES = 4096
+MEMORY_RETRY_S = 0.25  # pause before memory is asked for again
+
+
+class ClientReceiver:
+    """The receive buffer of one client connection.
+
+    If there is no memory for more bytes, it stops reading until there is, so that the client has to wait.
+    Closing the connection instead would make clients connect again at once, which costs more processor time.
+    """
+
+    def __init__(self, sock: socket.socket, account: ClientAccount) -> None:
+        self.is_waiting = False  # whether it reads nothing because there is no memory
+        self.is_stopped = False  # True: nothing more is read
+        # When the first bytes of an incomplete message arrived, microseconds; None: there is none.
+        self.partial_since: int | None = None
+        self._sock = sock
+        self._account = account
+        self._buffer = Buffer(INITIAL_BUFFER_BYTES, front.FRAME.size + front.MAX_FRAME_BYTES)
+
+    async def receive(self) -> int:
+        """Waits for bytes and returns their number; 0 if the client has closed its side or reading was
+        stopped. The bytes are dropped unless `keep` is called. Raises BufferFullError or OSError."""
+        if not await self._wait_for_memory():
+            return 0
+        space = self._buffer.space()
+        count = await asyncio.get_running_loop().sock_recv_into(self._sock, space)
+        return 0 if self._account.is_closed else count
+
+    async def _wait_for_memory(self) -> bool:
+        """Waits until the buffer may change its size as it needs to. Returns False if reading is stopped."""
+        while not self.is_stopped and not self._account.is_closed:
+            growth = self._buffer.next_growth()
+            if growth <= 0:
+                self._account.release(MemoryUse.RECEIVED, -growth)
+                return True
+            try:
+                self._account.reserve(MemoryUse.RECEIVED, growth)
+                return True
+            except MemoryBudgetError:
+                self.is_waiting = True
+                await asyncio.sleep(MEMORY_RETRY_S)
+            finally:
+                self.is_waiting = False
+        return False
+
+    def keep(self, count: int) -> None:
+        """Keeps the first `count` bytes that were received last."""
+        self._buffer.filled(count)
+
+    def next_frame(self) -> bytes | None:
+        """Consumes and returns the next complete frame; None if it is incomplete. Raises FrameError."""
+        data = self._buffer.data()
+        length = front.frame_length(data)
+        if length is None or len(data) < front.FRAME.size + length:
+            return None
+        frame = bytes(data[front.FRAME.size : front.FRAME.size + length])
+        self._buffer.consume(front.FRAME.size + length)
+        return frame
+
+    def track_partial_message(self, has_message: bool, arrived_at: int) -> None:
+        """Updates `partial_since` after bytes were received and all complete messages handled.
+
+        :param has_message: whether there was at least one complete message.
+        :param arrived_at: when the bytes were received, microseconds.
+        """
+        if not len(self._buffer):
+            self.partial_since = None
+        elif has_message or self.partial_since is None:
+            self.partial_since = arrived_at
--- a/lotusstream/net/gateway.py
+++ b/lotusstream/net/gateway.py
@@ -15,7 +15,8 @@
 from lotusstream import interface as api
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.client import ClientConnection
-from lotusstream.net.client_limits import ClientConnectionLimiter, UnreadReplies
+from lotusstream.net.client_limits import ClientConnectionLimiter
+from lotusstream.net.client_memory import DIVISORS, ClientMemory, MemoryUse
 from lotusstream.net.clock import Clock
 from lotusstream.net.configuration import Configuration, ConfigurationError
 from lotusstream.net.connection import Address, SocketBudget
@@ -42,7 +43,6 @@
 OWN_DESCRIPTOR_COUNT = 16  # descriptors of the process, the event loop, the listener and discovery
 SPARE_DESCRIPTOR_DIVISOR = 32  # 1/32 of the descriptors is kept spare for connections being opened or closed
 CLIENT_DESCRIPTOR_DIVISOR = 3  # 1/3 of the descriptors is for client connections
-MEMORY_DIVISOR = 8  # 1/8 of the memory is for statements of open requests, and 1/8 for unread replies
 
 RETRYABLE_ACCEPT_ERRNOS = (
     errno.ECONNABORTED,
@@ -83,11 +83,11 @@
             max_clients, max(1, self._spare_count - 1), self._clock, self.supervisor
         )
         self._statement_search = StatementSearch()
-        max_bytes = configuration.memory // MEMORY_DIVISOR
-        self._unread = UnreadReplies(max_bytes)
+        max_statement_bytes = configuration.memory // DIVISORS[MemoryUse.STATEMENTS]
+        self._client_memory = ClientMemory(configuration.memory, self.supervisor.counters)
         wrap_module = self._subsystems.wrap_module if self._subsystems else None
         self._decider = Decider(
-            deployment, self._budget, max_bytes, self._clock, self.supervisor, wrap_module
+            deployment, self._budget, max_statement_bytes, self._clock, self.supervisor, wrap_module
         )
         self._discovery = DiscoveryActor(deployment, self._clock, self._decider.post, self.supervisor)
         self._loop_watch = LoopWatch(self._clock, self.supervisor.counters, self._evaluate)
@@ -217,7 +217,7 @@
             self._clock,
             self._decider.post,
             self._is_healthy,
-            self._unread,
+            self._client_memory,
             self._client_limiter,
             self._statement_search,
             self.supervisor,
@@ -258,7 +258,7 @@
 
     def _has_open_work(self) -> bool:
         """Whether a client waits for a reply, for its bytes to be read, or to be accepted."""
-        if self._unread.total or self._client_limiter.has_open_work():
+        if self._client_memory.used(MemoryUse.REPLIES) or self._client_limiter.has_open_work():
             return True
         return self._has_pending_connection()
 
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -37,7 +37,8 @@
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.attempt_messages import AbortAttempt, RunAttempt
 from lotusstream.net.client import ClientConnection, ClientReply, ReceivedRequest, RequestAbandoned
-from lotusstream.net.client_limits import ClientConnectionLimiter, UnreadReplies
+from lotusstream.net.client_limits import ClientConnectionLimiter
+from lotusstream.net.client_memory import ClientMemory
 from lotusstream.net.clock import Clock
 from lotusstream.net.configuration import Configuration, read_configuration
 from lotusstream.net.connection import Connection, ConnectionPool, SocketBudget
@@ -334,12 +335,12 @@
         self.supervisor, self.reports, self.clock = Supervisor(), EventLog(), ManualClock()
         self.deployment = read_settings(7, settings())
         self.limiter = ClientConnectionLimiter(max_clients, 2, self.clock, self.supervisor)
-        self.unread = UnreadReplies(1 << 20)
+        self.memory = ClientMemory(8 << 20, self.supervisor.counters)
 
     def connect(self) -> tuple[ClientConnection, StandInClient, socket.socket]:
         ours, theirs = connected_sockets()
         client = ClientConnection(
-            ours, self.deployment, self.clock, self.reports.add, lambda: True, self.unread, self.limiter,
+            ours, self.deployment, self.clock, self.reports.add, lambda: True, self.memory, self.limiter,
             StatementSearch(), self.supervisor,
         )  # fmt: skip
         assert self.limiter.admit(client)
@@ -478,7 +479,7 @@
     newcomer, _, _ = clients.connect()  # the limit is two clients
     assert [*clients.limiter._idle] == [slow] and newcomer in clients.limiter._silent
     clients.clock.at += front.CLIENT_IDLE_TIMEOUT_US
-    slow.partial_since = clients.clock.at - 500 * MS
+    slow._receiver.partial_since = clients.clock.at - 500 * MS
     clients.limiter.evaluate()
     slow_socket.sendall(request[20:])
     assert (await clients.received(1)).client is slow
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -30,7 +30,8 @@
 from lotusstream.net.attempt_messages import AbortAttempt, AttemptFinished, ChangePriority, RunAttempt
 from lotusstream.net.buffer import Buffer, BufferFullError
 from lotusstream.net.client import ClientConnection, ClientReply, ReceivedRequest, RequestAbandoned
-from lotusstream.net.client_limits import ClientConnectionLimiter, UnreadReplies
+from lotusstream.net.client_limits import ClientConnectionLimiter
+from lotusstream.net.client_memory import ClientMemory
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import Connection, ConnectionPool, NoDescriptorError, SocketBudget
 from lotusstream.net.decider import Decider
@@ -186,7 +187,7 @@
         Clock(),
         reports.add,
         lambda: True,
-        UnreadReplies(1000),
+        ClientMemory(64 << 20, supervisor.counters),
         limiter,
         StatementSearch(),
         supervisor,
