Soak: second responses, unfinished messages, stalls at a shutdown, with planted defects

Change: each plan has one of three further kinds of faults, drawn apart, so that the others of a seed stay. A client counts rows that do not name its request as lost; the memory of a gateway is sampled.

--- a/lotusstream/lab/scale/load.py
+++ b/lotusstream/lab/scale/load.py
@@ -28,6 +28,7 @@
     answer: str | None = None  # answered, shed, failed or fault; None: no answer
     answered_at: float | None = None  # None: no answer
     gateway: str = ""  # name of the gateway; empty where there is only one
+    is_foreign: bool = False  # whether the answer held other rows than those of the request
     excused: bool = False  # no answer is required: the gateway was killed, or the client could not connect
     # Seconds from `sent_at` until the kernel sent the request, while the client waited for a processor. 0 if
     # it was sent at once, or if the client does not measure it.
--- a/lotusstream/lab/scale/planted.py
+++ b/lotusstream/lab/scale/planted.py
@@ -16,6 +16,9 @@
 from lotusstream import interface as api
 from lotusstream.net import client, decider, endpoint_registry
 from lotusstream.net import gateway as server
+from lotusstream.net.attempt_runner import AttemptRunner
+from lotusstream.net.client_memory import ClientMemory
+from lotusstream.net.connection import Connection
 from lotusstream.policy.placement import PlacementPolicy
 from lotusstream.policy.retries import RetryPolicy
 from lotusstream.policy.slow_start import SlowStart
@@ -125,6 +128,24 @@
     SlowStart.admits = lambda self, endpoint, work: True  # type: ignore[method-assign]
 
 
+def believed_duplicates() -> None:
+    """Takes each result for that of the present call, and reuses connections after any attempt."""
+    Connection.is_new_result = lambda self, response: True  # type: ignore[method-assign]
+    AttemptRunner._release = (  # type: ignore[method-assign]
+        lambda self, attempt, connection: self._pool.put_back(connection)
+    )
+
+
+def unlimited_client_memory() -> None:
+    """Lets clients take as much memory as they like."""
+    ClientMemory.reserve = lambda self, account, use, size: None  # type: ignore[method-assign]
+
+
+def no_late_checks() -> None:
+    """Ends a graceful shutdown at its deadline, even if replies are not written."""
+    server.MAX_LATE_POLL_COUNT = 0
+
+
 PLANTED: dict[str, Callable[[], None]] = {
     "slow-core": slow_core,
     "late-drain": late_drain,
@@ -135,6 +156,9 @@
     "whole-list-without-drains": whole_list_without_drains,
     "early-exit": early_exit,
     "no-slow-start": no_slow_start,
+    "believed-duplicates": believed_duplicates,
+    "unlimited-client-memory": unlimited_client_memory,
+    "no-late-checks": no_late_checks,
 }
 
 
--- a/lotusstream/lab/scale/process.py
+++ b/lotusstream/lab/scale/process.py
@@ -135,6 +135,16 @@
             if found := re.fullmatch(r"(.+?) ([0-9.e+]+)( at most)?", line):
                 self.usage.counters[found[1]] = float(found[2])
 
+    def own_memory_mb(self) -> float:
+        """Returns the memory of the process without files, MB; 0 if it has ended."""
+        assert self._process is not None
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        found = re.search(r"RssAnon:\s+(\d+) kB", status)
+        return int(found[1]) / 1024 if found else 0.0
+
     def measure(self) -> Usage:
         """Reads processor time and peak memory from /proc into `usage`, and returns it."""
         assert self._process is not None
--- a/lotusstream/lab/scale/servers.py
+++ b/lotusstream/lab/scale/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -13,7 +14,7 @@
 
 FIRST_ADDRESS = IPv4Address("127.20.0.1")
 LONG_POLL_SECONDS = 0.25  # how long a server delays the answer "202: still running"
-ROWS = b"a\tb\tc\n"
+MAX_REPEAT_DELAY_SECONDS = 0.5  # longest delay of a response that is sent a second time
 
 
 @dataclass(slots=True)
@@ -102,12 +103,10 @@
         :param arrived_at: when the call's first byte arrived, Unix seconds.
         """
         method, path, _ = head.split("\r\n", 1)[0].split(" ")
-        if self.silent:
-            if method == "POST":
-                self._record_attempt(head, arrived_at)
+        call = self._record_attempt(head, arrived_at) if method == "POST" else path.split("/")[2]
+        if self.silent or self._fleet.is_silent_for(call):
             return
         if method == "POST":
-            call = self._record_attempt(head, arrived_at)
             if self.full:
                 self._fleet.attempts[-1].ran = False
                 answer(http_answer(503, X_Unrun=1))
@@ -116,13 +115,11 @@
         elif method in ("DELETE", "PUT"):
             answer(http_answer(204))
             return
-        else:
-            call = path.split("/")[2]
         query = self._queries.get(call)
         if query is None:
             answer(http_answer(500))
             return
-        self._answer_when_ended(query, answer)
+        self._answer_when_ended(call, query, answer)
 
     def _record_attempt(self, head: str, arrived_at: float) -> str:
         """Records the attempt and returns its request id."""
@@ -142,21 +139,29 @@
         self._running_count -= 1
         query.ended.set()
 
-    def _answer_when_ended(self, query: Query, answer: Callable[[bytes], None]) -> None:
+    def _answer_when_ended(self, call: str, query: Query, answer: Callable[[bytes], None]) -> None:
         """Answers with the result, or with 202 if the query does not end within LONG_POLL_SECONDS."""
+        result = http_answer(200, result_rows(call), Result_Pages=1, Query_Cost=80, Query_Need=100)
         if query.ended.is_set():
-            answer(GOOD_ANSWER)
+            self._answer_and_repeat(result, answer)
             return
 
         async def wait() -> None:
             try:
                 await asyncio.wait_for(query.ended.wait(), LONG_POLL_SECONDS)
-                answer(GOOD_ANSWER)
+                self._answer_and_repeat(result, answer)
             except TimeoutError:
-                answer(http_answer(202))
+                self._answer_and_repeat(http_answer(202), answer)
 
         self._fleet.hold_task(asyncio.get_running_loop().create_task(wait()))
 
+    def _answer_and_repeat(self, response: bytes, answer: Callable[[bytes], None]) -> None:
+        """Answers, and sends the response a second time later if the fleet repeats responses."""
+        answer(response)
+        if self._fleet.repeats_responses:
+            delay = self._fleet.random.uniform(0.001, MAX_REPEAT_DELAY_SECONDS)
+            asyncio.get_running_loop().call_later(delay, answer, response)
+
 
 class ServerConnection(asyncio.Protocol):
     """A connection to a server. It reads HTTP/1.1 calls one at a time."""
@@ -209,6 +214,10 @@
         self.servers: dict[str, Server] = {}
         self.attempts: list[Attempt] = []  # in the order in which their calls were fully received
         self.connections = 0  # number of connections accepted
+        self.repeats_responses = False  # servers send each status and each result a second time, later
+        # Whether servers send no response to calls for a request, given its id.
+        self.is_silent_for: Callable[[str], bool] = lambda _call: False
+        self.random = random.Random(0)
         self._cores, self._work = cores, work
         self._port = _free_port()
         self._count = 0  # servers added, also those that have stopped
@@ -242,6 +251,11 @@
             task.cancel()
 
 
+def result_rows(call: str) -> bytes:
+    """Returns the rows of the result of a request, which name it."""
+    return f"{call}\tb\tc\n".encode()
+
+
 def http_answer(status: int, body: bytes = b"", **headers: object) -> bytes:
     """Encodes a response. Underscores in the names of `headers` stand for hyphens."""
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
@@ -263,6 +277,3 @@
         probe.bind(("127.0.0.1", 0))
         port: int = probe.getsockname()[1]
         return port
-
-
-GOOD_ANSWER = http_answer(200, ROWS, Result_Pages=1, Query_Cost=80, Query_Need=100)
--- a/lotusstream/lab/soak/clients.py
+++ b/lotusstream/lab/soak/clients.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 
 from lotusstream.lab.scale.load import ANSWER_SLACK, Outcome
+from lotusstream.lab.scale.servers import result_rows
 from lotusstream.lab.scale.tcp_times import write_delay
 from lotusstream.lab.soak.plan import RequestClass
 from lotusstream.lab.soak.processor_wait import ProcessorWait
@@ -52,6 +53,7 @@
         self._classes = classes
         self._gateway_wait, self._own_wait = gateway_wait, ProcessorWait(os.getpid())
         self._random = random.Random(seed)
+        self._calls: set[str] = set()  # ids of the requests sent
         self._clients: list[StandInClient] = []
         self._open_counts: dict[StandInClient, int] = {}  # number of open requests, by connection
         self._tasks: set[asyncio.Task[None]] = set()
@@ -82,6 +84,10 @@
         if self._sending is not None:
             self._sending.cancel()
 
+    def has_sent(self, call: str) -> bool:
+        """Whether the request with this id is one of these clients'."""
+        return call in self._calls
+
     def excuse_open(self) -> None:
         """Excuses the open requests, which need no answer because their gateway was killed with SIGKILL."""
         for outcome in self.outcomes:
@@ -96,6 +102,7 @@
         call = f"{next(CALL_IDS):016x}"
         outcome = Outcome(call, profile.name, time.time(), profile.deadline, gateway=self._gateway)
         self.outcomes.append(outcome)
+        self._calls.add(call)
         gives_up = self._random.random() < self._give_up_share
         if not await self._send(client, outcome, gives_up):
             await self._resend(outcome, gives_up)
@@ -151,6 +158,7 @@
         error = answer.exception()
         if error is None:
             outcome.answer = "answered"
+            outcome.is_foreign = answer.result()[0] != result_rows(outcome.call)
         elif isinstance(error, RequestFailedError):
             outcome.answer = error.kind
 
--- a/lotusstream/lab/soak/judge.py
+++ b/lotusstream/lab/soak/judge.py
@@ -56,6 +56,8 @@
     for outcome in history.outcomes:
         own = attempts[outcome.call]
         found += _missing_answer(outcome, own)
+        if outcome.is_foreign:
+            found.append(BrokenRule("lost", outcome.call, "answered with the rows of another request"))
         found += late_attempts(outcome, own)
         found += _unsafe_repeats(outcome, own, history.classes[outcome.profile])
     for attempt in history.attempts:
--- a/lotusstream/lab/soak/plan.py
+++ b/lotusstream/lab/soak/plan.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -44,6 +45,18 @@
     IDLE_CROWD = "idle crowd"
     BURST = "burst"
     RESTART_MOST_SERVERS = "restart most servers"
+    SECOND_RESPONSES = "second responses"
+    UNFINISHED_MESSAGES = "unfinished messages"
+    STALL_AT_SHUTDOWN = "stall at shutdown"
+
+
+TRANSPORT_FAULTS = (
+    FaultKind.SECOND_RESPONSES,
+    FaultKind.UNFINISHED_MESSAGES,
+    FaultKind.STALL_AT_SHUTDOWN,
+)
+"""Kinds of which each plan has one, drawn apart from its other faults."""
+MEMORY_LIMITS_MB = (32, 64, 192)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +85,9 @@
     length: float  # seconds that it lasts, for kinds of faults that last
 
 
+FaultHandlers = dict[FaultKind, Callable[[Fault], Awaitable[None]]]
+
+
 @dataclass(frozen=True, slots=True)
 class SoakPlan:
     """The plan of one run."""
@@ -90,6 +106,7 @@
     cold_from: float  # a setting: capacity right after a server's start / its full capacity, 0 to 1
     classes: tuple[RequestClass, ...]
     faults: tuple[Fault, ...]
+    memory_mb: int = MEMORY_LIMITS_MB[-1]  # limit of each gateway
 
     @property
     def longest_deadline(self) -> float:
@@ -108,7 +125,7 @@
     """
     if seconds < 2 * FIRST_FAULT_SECONDS:
         raise ValueError(f"a run takes at least {2 * FIRST_FAULT_SECONDS} s, got {seconds}")
-    draw = random.Random(seed)
+    draw, transport_draw = random.Random(seed), random.Random(f"transport {seed}")
     large = draw.random() < LARGE_FLEET_SHARE
     servers = draw.choice(LARGE_FLEETS if large else SMALL_FLEETS)
     gateways = draw.randint(2, 3 if large else 5)
@@ -127,7 +144,8 @@
         leaves=draw.choice((0.0, 0.05, 0.3)),
         clock_off=draw.choice((0.0, 0.0, 5.0, -5.0, 3600.0, -3600.0)),
         classes=classes,
-        faults=_draw_faults(draw, seconds),
+        faults=_sorted(_draw_faults(draw, seconds), _draw_transport_fault(transport_draw, seconds)),
+        memory_mb=MEMORY_LIMITS_MB[-1] if large else transport_draw.choice(MEMORY_LIMITS_MB),
     )
 
 
@@ -140,11 +158,21 @@
     )
 
 
-def _draw_faults(draw: random.Random, seconds: float) -> tuple[Fault, ...]:
+def _sorted(faults: list[Fault], transport_fault: Fault) -> tuple[Fault, ...]:
+    return tuple(sorted([*faults, transport_fault], key=lambda fault: fault.at))
+
+
+def _draw_transport_fault(draw: random.Random, seconds: float) -> Fault:
+    kind = draw.choice(TRANSPORT_FAULTS)
+    return Fault(FIRST_FAULT_SECONDS, kind, draw.uniform(0.05, 0.4), seconds / 2)
+
+
+def _draw_faults(draw: random.Random, seconds: float) -> list[Fault]:
+    kinds = [kind for kind in FaultKind if kind not in TRANSPORT_FAULTS]
     count = draw.randint(4, 9)
     faults = []
     for _ in range(count):
         at = draw.uniform(FIRST_FAULT_SECONDS, max(FIRST_FAULT_SECONDS, LAST_FAULT_SHARE * seconds))
-        kind = draw.choice([*FaultKind])
+        kind = draw.choice(kinds)
         faults.append(Fault(at, kind, draw.uniform(0.05, 0.4), draw.uniform(0.5, seconds / 2)))
-    return tuple(sorted(faults, key=lambda fault: fault.at))
+    return faults
--- a/lotusstream/lab/soak/report.py
+++ b/lotusstream/lab/soak/report.py
@@ -6,8 +6,9 @@
 import tempfile
 from pathlib import Path
 
+from lotusstream.lab.soak.judge import SoakHistory
 from lotusstream.lab.soak.plan import SoakPlan, draw_plan
-from lotusstream.lab.soak.run import SoakResult, SoakRun, describe_request
+from lotusstream.lab.soak.run import SoakResult, SoakRun
 
 MAX_VIOLATIONS_SHOWN = 5  # per failed seed
 
@@ -34,6 +35,22 @@
     return lines
 
 
+def describe_request(history: SoakHistory, call: str) -> str:
+    """Describes one request for a report: its attempts in order of arrival, then its answer."""
+    outcome = next((each for each in history.outcomes if each.call == call), None)
+    if outcome is None:
+        return f"{call}: no such request"
+    steps = [f"{call} {outcome.profile} of {outcome.gateway}, {outcome.time_out} s"]
+    for attempt in history.attempts:
+        if attempt.call == call:
+            limit = f"time limit {attempt.time_out:.3f} s" + ("" if attempt.ran else ", rejected")
+            steps.append(f"  +{attempt.at - outcome.sent_at:.3f} at {attempt.server}, {limit}")
+    ended_at = outcome.answered_at if outcome.answered_at is not None else outcome.gave_up_at
+    after = f"+{ended_at - outcome.sent_at:.3f}" if ended_at is not None else "never"
+    steps.append(f"  {after} {outcome.answer or ('client gave up' if outcome.gave_up_at else 'no answer')}")
+    return "\n".join(steps)
+
+
 def parse_seeds(text: str) -> range:
     """Parses `A..B` or one number. Raises ValueError if the text is neither."""
     first, _, last = text.partition("..")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,7 +21,8 @@
 from lotusstream.lab.soak.log_check import failed_for_lack_of_processor, faults_in_log
 from lotusstream.lab.soak.plan import RequestClass, draw_plan
 from lotusstream.lab.soak.processor_wait import ProcessorWait
-from lotusstream.lab.soak.run import SoakRun, describe_request
+from lotusstream.lab.soak.report import describe_request
+from lotusstream.lab.soak.run import SoakRun
 
 ONCE = RequestClass("booking", "once", 0.1, 1.0, 0.0, False)
 
@@ -42,6 +43,20 @@
     assert result.served > result.requests / 2
 
 
+@pytest.mark.parametrize(
+    ("planted", "seed", "fault"),
+    [
+        ("believed-duplicates", 8, "rows of another request"),
+        ("unlimited-client-memory", 3, "of 32 MB"),
+        ("no-late-checks", 1, "answer None"),
+    ],
+)
+async def test_soak_detects_planted_defect(folder: Path, planted: str, seed: int, fault: str) -> None:
+    """A soak that misses a defect which was fixed once would not notice its return."""
+    result = await SoakRun(draw_plan(seed, 6.0), folder, planted).play()
+    assert fault in "\n".join([*result.crashes, *(each.text for each in result.broken)])
+
+
 def test_same_seed_draws_same_plan() -> None:
     """A failed seed can be replayed only if it draws the same plan each time."""
     assert draw_plan(7, 8.0) == draw_plan(7, 8.0) != draw_plan(8, 8.0)
