--- a/lotusstream/lab/link.py
+++ b/lotusstream/lab/link.py
@@ -22,9 +22,9 @@
     TCP delivers them. Bytes on a connection that the sender has reset never arrive.
     """
 
-    def __init__(self, target_port: int) -> None:
+    def __init__(self, target_port: int, target_host: str = HOST) -> None:
         self.port = 0  # port that it listens on; 0 until it is started
-        self._target_port = target_port
+        self._target = (target_host, target_port)
         self._listener = socket.socket()
         self._works = asyncio.Event()
         self._works.set()
@@ -90,7 +90,7 @@
                 for each in (accepted, target):
                     each.setblocking(False)
                     each.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                await asyncio.get_running_loop().sock_connect(target, (HOST, self._target_port))
+                await asyncio.get_running_loop().sock_connect(target, self._target)
                 async with asyncio.TaskGroup() as directions:
                     directions.create_task(self._copy(accepted, target))
                     directions.create_task(self._copy(target, accepted))
--- a/lotusstream/lab/scale/servers.py
+++ b/lotusstream/lab/scale/servers.py
@@ -14,6 +14,7 @@
 
 FIRST_ADDRESS = IPv4Address("127.20.0.1")
 LONG_POLL_SECONDS = 0.25  # how long a server delays the answer "202: still running"
+MAX_HELD_SECONDS = 0.5  # after this time a gateway gives up a call, so a cut link holds it no longer
 MAX_REPEAT_DELAY_SECONDS = 0.5  # longest delay of a response that is sent a second time
 
 
@@ -27,6 +28,7 @@
     at: float  # when its first byte arrived at the machine, Unix seconds
     time_out: float  # time limit that the gateway sent with it, seconds
     ran: bool = True  # False: the server rejected it as not executed
+    held: float = 0.0  # longest time for which a cut link may have held it, seconds
 
 
 @dataclass(slots=True)
@@ -50,6 +52,9 @@
         self.state, self.boot_ms = "ready", 0
         self.silent = False  # it records attempts and sends no response
         self.full = False  # it rejects all attempts as not executed
+        self.endpoint = f"{address}:{port}"  # where gateways reach it
+        # Until when, in Unix seconds, attempts may arrive that a cut link has held.
+        self.delivers_held_until = 0.0
         self._cores, self._work, self._fleet = cores, work, fleet
         self._queries: dict[str, Query] = {}  # by request id
         self._running_count = 0
@@ -81,7 +86,7 @@
         """Returns its entry in the endpoint list."""
         return {
             "uid": self.uid,
-            "endpoint": f"{self.address}:{self.port}",
+            "endpoint": self.endpoint,
             "az": "here",
             "model": "std",
             "pod_group": 0,
@@ -126,7 +131,9 @@
         fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
         call = fields["X-Txn"]
         time_out = int(fields["X-Limit-Ms"]) / 1000
-        self._fleet.attempts.append(Attempt(self.uid, call, fields["X-Lane"], arrived_at, time_out))
+        held = MAX_HELD_SECONDS if arrived_at < self.delivers_held_until else 0.0
+        attempt = Attempt(self.uid, call, fields["X-Lane"], arrived_at, time_out, held=held)
+        self._fleet.attempts.append(attempt)
         return call
 
     def _start_query(self, call: str) -> None:
--- a/lotusstream/lab/soak/plan.py
+++ b/lotusstream/lab/soak/plan.py
@@ -48,15 +48,18 @@
     SECOND_RESPONSES = "second responses"
     UNFINISHED_MESSAGES = "unfinished messages"
     STALL_AT_SHUTDOWN = "stall at shutdown"
+    CUT_LINKS = "cut links"
 
 
 TRANSPORT_FAULTS = (
     FaultKind.SECOND_RESPONSES,
     FaultKind.UNFINISHED_MESSAGES,
     FaultKind.STALL_AT_SHUTDOWN,
+    FaultKind.CUT_LINKS,
 )
 """Kinds of which each plan has one, drawn apart from its other faults."""
 MEMORY_LIMITS_MB = (32, 64, 192)
+MAX_LINKED_SERVERS = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +111,12 @@
     faults: tuple[Fault, ...]
     memory_mb: int = MEMORY_LIMITS_MB[-1]  # limit of each gateway
 
+    @property
+    def linked_servers(self) -> int:
+        """Number of servers behind links that can be cut."""
+        has_links = any(fault.kind is FaultKind.CUT_LINKS for fault in self.faults)
+        return min(MAX_LINKED_SERVERS, self.servers // 3) if has_links else 0
+
     @property
     def longest_deadline(self) -> float:
         return max(each.deadline for each in self.classes)
--- a/lotusstream/lab/soak/run.py
+++ b/lotusstream/lab/soak/run.py
@@ -103,7 +103,7 @@
 
     async def _start(self) -> None:
         await self._discovery.current.start()
-        servers = await self._servers.fleet.add(self.plan.servers)
+        servers = await self._servers.start()
         self._discovery.current.publish(*(server.entry() for server in servers), whole=True)
         for number in range(self.plan.gateways):
             folder = self._folder / f"g{number}"
@@ -338,4 +338,4 @@
             gateway.clients.stop_sending()
             await gateway.process.kill()
         self._discovery.stop()
-        self._servers.fleet.stop()
+        self._servers.stop()
--- a/lotusstream/lab/soak/server_faults.py
+++ b/lotusstream/lab/soak/server_faults.py
@@ -6,12 +6,14 @@
 import random
 import time
 
+from lotusstream.lab.link import HOST, Link
 from lotusstream.lab.scale.servers import Server, ServerFleet
 from lotusstream.lab.soak.configuration import OVERLOAD_FOR
 from lotusstream.lab.soak.discovery_faults import DiscoveryFaults
 from lotusstream.lab.soak.judge import ColdStart, SoakHistory
 from lotusstream.lab.soak.plan import Fault, FaultHandlers, FaultKind, SoakPlan
 
+DELIVERY_SECONDS = 0.2  # from the repair of a link until all that it held has arrived
 DRAIN_SECONDS = 2.0  # time for which a server is listed as draining before it stops
 MAX_ADDED_SERVERS = 200  # by one fault
 
@@ -36,7 +38,23 @@
             FaultKind.CLOSE_IDLE: self._close_connections,
             FaultKind.RESTART_MOST_SERVERS: self._restart_most_servers,
             FaultKind.SECOND_RESPONSES: self._second_responses,
+            FaultKind.CUT_LINKS: self._cut_links,
         }
+        self._links: dict[Server, Link] = {}
+
+    async def start(self) -> list[Server]:
+        """Starts the servers of the plan, some of them behind links, and returns them."""
+        servers = await self.fleet.add(self._plan.servers)
+        for server in servers[: self._plan.linked_servers]:
+            link = self._links[server] = Link(server.port, server.address)
+            link.start()
+            server.endpoint = f"{HOST}:{link.port}"
+        return servers
+
+    def stop(self) -> None:
+        for link in self._links.values():
+            link.close()
+        self.fleet.stop()
 
     def _select_servers(self, part: float) -> list[Server]:
         """Draws that share of the ready servers, at least one. Never draws the last two ready servers."""
@@ -127,3 +145,12 @@
         self.fleet.repeats_responses = True
         await asyncio.sleep(fault.length)
         self.fleet.repeats_responses = False
+
+    async def _cut_links(self, fault: Fault) -> None:
+        """Cuts the links, then repairs them. What gateways sent meanwhile and did not take back arrives."""
+        for link in self._links.values():
+            link.cut()
+        await asyncio.sleep(fault.length)
+        for server, link in self._links.items():
+            server.delivers_held_until = time.time() + DELIVERY_SECONDS
+            link.repair()
