--- a/lotusstream/lab/soak/discovery_faults.py
+++ b/lotusstream/lab/soak/discovery_faults.py
@@ -29,6 +29,9 @@
         # Gateways need not follow changes of the endpoint list before this time, Unix seconds. Faults of
         # discovery postpone it.
         self._list_applies_from = 0.0
+        # From a change of the endpoint list until gateways must follow it. Longer once responses are slow, as
+        # they may still be on their way when later ones are fast again.
+        self._propagation_seconds = 0.0
         self.handlers: FaultHandlers = {
             FaultKind.DISCOVERY_DOWN: self._go_down,
             FaultKind.DISCOVERY_SILENT: self._be_silent,
@@ -36,6 +39,14 @@
             FaultKind.NEW_DISCOVERY_TWICE: self._move_twice,
         }
 
+    async def be_slow(self, response_seconds: float, seconds: float) -> None:
+        """Makes each response take that long, for `seconds`."""
+        discovery = self.current
+        discovery.response_seconds = response_seconds
+        self._propagation_seconds = DISCOVERY_FAULT_GRACE_SECONDS
+        await asyncio.sleep(seconds)
+        discovery.response_seconds = 0.0
+
     def publish_state(self, servers: list[Server], state: str) -> None:
         """Lists the servers with a new state, in a delta."""
         for server in servers:
@@ -47,7 +58,8 @@
 
     def withdraw(self, server: Server) -> None:
         """Records the time from which gateways must treat the server as withdrawn, unless one is recorded."""
-        self._history.withdrawn.setdefault(server.uid, max(time.time(), self._list_applies_from))
+        applies_from = max(time.time() + self._propagation_seconds, self._list_applies_from)
+        self._history.withdrawn.setdefault(server.uid, applies_from)
 
     def stop(self) -> None:
         for discovery in (self.current, *self._old):
--- a/lotusstream/lab/soak/plan.py
+++ b/lotusstream/lab/soak/plan.py
@@ -49,6 +49,7 @@
     UNFINISHED_MESSAGES = "unfinished messages"
     STALL_AT_SHUTDOWN = "stall at shutdown"
     CUT_LINKS = "cut links"
+    SLOW_DISCOVERY = "slow discovery"
 
 
 TRANSPORT_FAULTS = (
@@ -56,6 +57,7 @@
     FaultKind.UNFINISHED_MESSAGES,
     FaultKind.STALL_AT_SHUTDOWN,
     FaultKind.CUT_LINKS,
+    FaultKind.SLOW_DISCOVERY,
 )
 """Kinds of which each plan has one, drawn apart from its other faults."""
 MEMORY_LIMITS_MB = (32, 64, 192)
--- a/lotusstream/lab/soak/server_faults.py
+++ b/lotusstream/lab/soak/server_faults.py
@@ -15,6 +15,8 @@
 
 DELIVERY_SECONDS = 0.2  # from the repair of a link until all that it held has arrived
 DRAIN_SECONDS = 2.0  # time for which a server is listed as draining before it stops
+SLOW_RESPONSE_SECONDS = (0.5, 4.0)  # shortest and longest time that a response of a slow discovery takes
+WITHDRAWAL_DELAY_SECONDS = 0.5  # from the slowing of discovery until servers are listed as draining
 MAX_ADDED_SERVERS = 200  # by one fault
 
 
@@ -39,6 +41,7 @@
             FaultKind.RESTART_MOST_SERVERS: self._restart_most_servers,
             FaultKind.SECOND_RESPONSES: self._second_responses,
             FaultKind.CUT_LINKS: self._cut_links,
+            FaultKind.SLOW_DISCOVERY: self._slow_discovery,
         }
         self._links: dict[Server, Link] = {}
 
@@ -154,3 +157,11 @@
         for server, link in self._links.items():
             server.delivers_held_until = time.time() + DELIVERY_SECONDS
             link.repair()
+
+    async def _slow_discovery(self, fault: Fault) -> None:
+        """Slows the responses of discovery, and lists some servers as draining that go on running."""
+        response_seconds = self._random.uniform(*SLOW_RESPONSE_SECONDS)
+        slowing = asyncio.create_task(self._discovery.be_slow(response_seconds, fault.length))
+        await asyncio.sleep(WITHDRAWAL_DELAY_SECONDS)
+        await self._whole_list(fault)
+        await slowing
