Tests: one base for endpoints with scripted responses

Cause: three stand-ins started a server and read calls in the same way. Change: tests/net/scripted_endpoint.py; assertions are as before.

--- a/tests/net/test_foreign_responses.py
+++ b/tests/net/test_foreign_responses.py
@@ -11,6 +11,7 @@
 
 import pytest
 from conftest import EventLog, StandInEndpoint, http_answer
+from scripted_endpoint import ScriptedEndpoint, read_call
 from test_rare_moments import MS, S, run_attempt
 
 from lotusstream import interface as api
@@ -32,30 +33,18 @@
     return f"{call_id}\tx\ty\n".encode()
 
 
-class RepeatingEndpoint:
+class RepeatingEndpoint(ScriptedEndpoint):
     """An endpoint that runs each attempt for some time, and sends some of its responses a second time, up to
     half a second late."""
 
     def __init__(self, seed: int) -> None:
+        super().__init__()
         self._random = random.Random(seed)
         self._ends_at: dict[str, float] = {}
         self.duplicate_count = 0
 
-    async def start(self) -> int:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return int(self._server.sockets[0].getsockname()[1])
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                method, path, _ = head.partition("\r\n")[0].split(" ")
-                headers = dict(line.split(": ") for line in head.strip().split("\r\n")[1:])
-                await reader.readexactly(int(headers.get("Content-Length", 0)))
-                call_id = headers["X-Txn"] if method == "POST" else path.split("/")[2]
-                self._write(writer, await self._response(method, call_id))
-        except (asyncio.IncompleteReadError, OSError):
-            writer.close()
+    async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._write(writer, await self._response(*await read_call(reader)))
 
     async def _response(self, method: str, call_id: str) -> bytes:
         now = asyncio.get_running_loop().time()
@@ -85,7 +74,7 @@
     """A duplicate shifts the responses on a connection, so that the last one of an attempt is still to come
     when the connection is reused. The next attempt believed it: a client got another client's rows."""
     endpoint, reports, supervisor = RepeatingEndpoint(seed), EventLog(), Supervisor()
-    address = ("127.0.0.1", await endpoint.start())
+    address = await endpoint.start()
     actor = EndpointActor(
         b"s-1", address, SocketBudget(64), 250 * MS, 30 * S, Clock(), reports.add, supervisor
     )
@@ -145,32 +134,23 @@
     assert endpoint.stand_in.connections == 2
 
 
-class TruncatingEndpoint:
+class TruncatingEndpoint(ScriptedEndpoint):
     """An endpoint that writes its result row by row, and claims the length of the first row."""
 
     ROWS = (b"1\ta\tb\n", b"2\ta\tb\n")
 
-    async def start(self) -> int:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return int(self._server.sockets[0].getsockname()[1])
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                await reader.readuntil(b"\r\n\r\n")
-                await reader.readexactly(len(b"SELECT"))
-                writer.write(http_answer(200, self.ROWS[0], Result_Pages=1, Query_Cost=1, Query_Need=1))
-                await asyncio.sleep(0.005)
-                writer.write(self.ROWS[1])
-        except (asyncio.IncompleteReadError, OSError):
-            writer.close()
+    async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await read_call(reader)
+        writer.write(http_answer(200, self.ROWS[0], Result_Pages=1, Query_Cost=1, Query_Need=1))
+        await asyncio.sleep(0.005)
+        writer.write(self.ROWS[1])
 
 
 async def test_result_with_a_length_that_ends_at_an_earlier_row_is_not_believed() -> None:
     """An endpoint claims a Content-Length that is too short and ends at a row's end. The remaining rows
     arrive later than the response is read, and the client gets a result that lacks them."""
     endpoint, reports, supervisor = TruncatingEndpoint(), EventLog(), Supervisor()
-    address = ("127.0.0.1", await endpoint.start())
+    address = await endpoint.start()
     actor = EndpointActor(
         b"s-1", address, SocketBudget(8), 250 * MS, 30 * S, Clock(), reports.add, supervisor
     )
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import re
 import signal
 import socket
 import subprocess
@@ -31,6 +30,7 @@
 )
 from hypothesis import given
 from hypothesis import strategies as st
+from scripted_endpoint import ScriptedEndpoint, read_call
 
 from lotusstream import interface as api
 from lotusstream.deployment import read_settings
@@ -66,33 +66,19 @@
 # Endpoints: responses must reach the right attempt, and an outdated attempt must not be sent
 
 
-class DuplicatingEndpoint:
+class DuplicatingEndpoint(ScriptedEndpoint):
     """An endpoint that sends the response to each attempt a second time when the connection carries its next
     call. Such a duplicate is still in transit when the gateway checks the connection for readable bytes."""
 
     def __init__(self) -> None:
-        self.connections = 0
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> int:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return int(self._server.sockets[0].getsockname()[1])
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.connections, late = self.connections + 1, b""
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                if length := re.search(r"Content-Length: (\d+)", head):
-                    await reader.readexactly(int(length[1]))
-                call = re.search(r"X-Txn: (\w+)|GET /x/(\w+)", head)
-                assert call is not None
-                rows = f"{call[1] or call[2]}\t\t\n".encode()
-                answer = http_answer(200, rows, Result_Pages=1, Query_Cost=1, Query_Need=1)
-                writer.write(late + answer)
-                late = answer if head.startswith("POST") else b""
-        except asyncio.IncompleteReadError:
-            writer.close()
+        super().__init__()
+        self._late: dict[asyncio.StreamWriter, bytes] = {}  # duplicates to come
+
+    async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        method, attempt = await read_call(reader)
+        answer = http_answer(200, f"{attempt}\t\t\n".encode(), Result_Pages=1, Query_Cost=1, Query_Need=1)
+        writer.write(self._late.get(writer, b"") + answer)
+        self._late[writer] = answer if method == "POST" else b""
 
 
 def run_attempt(
@@ -110,7 +96,7 @@
     next attempt would read the duplicate, so a connection is not reused until that time has passed. If the
     duplicate arrives even later, it is recognized, and the result is fetched on a new connection."""
     duplicating, reports, clock, supervisor = DuplicatingEndpoint(), EventLog(), ManualClock(), Supervisor()
-    endpoint = ("127.0.0.1", await duplicating.start())
+    endpoint = await duplicating.start()
     actor = EndpointActor(b"s-1", endpoint, SocketBudget(8), 250 * MS, 30 * S, clock, reports.add, supervisor)
     actor.start()
     for number in range(2):
