Soak: look for tracebacks in the logs of gateways that were replaced

Cause: only the logs of the last processes were checked, so a failure before a planned restart went unseen. Change: tracebacks_in_log, called before a gateway is replaced.

--- a/lotusstream/lab/soak/log_check.py
+++ b/lotusstream/lab/soak/log_check.py
@@ -60,6 +60,12 @@
     return faults
 
 
+def tracebacks_in_log(lines: Sequence[str]) -> list[str]:
+    """Returns each traceback as one text, with the line before it."""
+    starts = [number for number, line in enumerate(lines) if "Traceback" in line]
+    return [_whole_traceback(lines[start - 1] if start else "", lines[start:]) for start in starts]
+
+
 def _whole_traceback(before: str, lines: Sequence[str]) -> str:
     """Joins the traceback at the start of `lines` and the line before it, which names what failed.
 
--- a/lotusstream/lab/soak/run.py
+++ b/lotusstream/lab/soak/run.py
@@ -16,7 +16,7 @@
 from lotusstream.lab.soak.configuration import DRAIN_GRACE, gateway_configuration
 from lotusstream.lab.soak.discovery_faults import DiscoveryFaults
 from lotusstream.lab.soak.judge import SoakHistory, check_history
-from lotusstream.lab.soak.log_check import failed_for_lack_of_processor, faults_in_log
+from lotusstream.lab.soak.log_check import failed_for_lack_of_processor, faults_in_log, tracebacks_in_log
 from lotusstream.lab.soak.plan import Fault, FaultHandlers, FaultKind, SoakPlan
 from lotusstream.lab.soak.processor_wait import SoakGatewayProcess
 from lotusstream.lab.soak.server_faults import ServerFaults
@@ -235,7 +235,12 @@
         process.signal(signal.SIGCONT)
 
     async def _restart(self, gateway: GatewayUnderTest) -> None:
-        """Starts a new process on the same port, with new clients. The old clients await their answers."""
+        """Starts a new process on the same port, with new clients. The old clients await their answers.
+
+        Of the old process's log only tracebacks are faults: it may have replied late because it stood still.
+        """
+        tracebacks = tracebacks_in_log(gateway.process.lines)
+        self._crashes += [f"{gateway.name}, replaced: {text}" for text in tracebacks]
         self._stopped_clients.append(gateway.clients)
         self._tasks.append(asyncio.create_task(gateway.clients.finish()))
         gateway.listen = gateway.process.port
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,7 +18,7 @@
 from lotusstream.lab.scale.tcp_times import TICK_SECONDS
 from lotusstream.lab.soak.clients import SoakClients
 from lotusstream.lab.soak.judge import ColdStart, SoakHistory, check_history
-from lotusstream.lab.soak.log_check import failed_for_lack_of_processor, faults_in_log
+from lotusstream.lab.soak.log_check import failed_for_lack_of_processor, faults_in_log, tracebacks_in_log
 from lotusstream.lab.soak.plan import RequestClass, draw_plan
 from lotusstream.lab.soak.processor_wait import ProcessorWait
 from lotusstream.lab.soak.report import describe_request
@@ -166,6 +166,8 @@
         "ValueError: bad",
     ]
     assert faults_in_log(["list: ignored", *failure, "ready"], lambda _: True) == ["\n".join(failure)]
+    assert tracebacks_in_log([late, *failure, "ready", *failure]) == ["\n".join(failure)] * 2
+    assert tracebacks_in_log([unanswered, late, "ready"]) == []
 
 
 async def request_at_shutdown(gateway_runs: float, clients_run: float) -> Outcome:
