One constant for a second in the operator file's package

Cause: three modules defined SECOND_US; a test compared 'lab' with parts of the absolute path. Change: operator/units.py has SECOND_US and MILLISECOND_US; the test looks at the path within the program.

--- a/lotusstream/operator/cells.py
+++ b/lotusstream/operator/cells.py
@@ -28,9 +28,8 @@
 from lotusstream.operator.grammar import ValueToken
 from lotusstream.operator.problems import Problem, suggest
 from lotusstream.operator.tree import Argument, Directive, DirectiveError, Node, name, number, path, time
-from lotusstream.operator.units import UnknownUnitError, parse_share
+from lotusstream.operator.units import SECOND_US, UnknownUnitError, parse_share
 
-SECOND_US = 1_000_000
 DEFAULT_HOLD_US = 2 * SECOND_US
 DEFAULT_DRAIN_US = 30 * SECOND_US
 BY_WEIGHT_KEYWORD = "drawn"  # stands in place of a cell name if each tenant's cell is chosen by weight
--- a/lotusstream/operator/file.py
+++ b/lotusstream/operator/file.py
@@ -29,10 +29,9 @@
 )
 from lotusstream.operator.problems import OperatorFileError, Problem
 from lotusstream.operator.tree import Node, TreeReader
-from lotusstream.operator.units import write_time
+from lotusstream.operator.units import SECOND_US, write_time
 from lotusstream.operator.vocabulary import TOP_LEVEL_DIRECTIVES
 
-SECOND_US = 1_000_000
 # Defaults of the directives `quiet`, `window`, `ramp` and `lost`, in this order. That of `lost` is a ratio of
 # the available cores.
 DEFAULT_MIN_INTERVAL_US, DEFAULT_WINDOW_US, DEFAULT_RAMP_TIME_US, DEFAULT_LOST_CORES_RATIO = (
--- a/lotusstream/operator/fleet.py
+++ b/lotusstream/operator/fleet.py
@@ -24,13 +24,12 @@
     size,
     time,
 )
-from lotusstream.operator.units import write_time
+from lotusstream.operator.units import MILLISECOND_US, SECOND_US, write_time
 from lotusstream.quorum.timing import RaftTiming
 
-MILLISECOND_US, SECOND_US = 1_000, 1_000_000
 MIN_HEALTH_CHECK_INTERVAL_US = 100 * MILLISECOND_US
 DEFAULT_REPAIR_BYTES_PER_S = 8 << 20
-DEFAULT_ANTI_ENTROPY_INTERVAL_US = 3600 * 1_000_000
+DEFAULT_ANTI_ENTROPY_INTERVAL_US = 3600 * SECOND_US
 DEFAULT_LEASE_DURATION_US = 10 * SECOND_US
 DEFAULT_CLOCK_DRIFT_RATIO = 0.02
 DEFAULT_HEARTBEAT_US = 100 * MILLISECOND_US
--- a/lotusstream/operator/units.py
+++ b/lotusstream/operator/units.py
@@ -4,8 +4,17 @@
 
 import re
 
+MILLISECOND_US = 1_000  # microseconds in a millisecond
+SECOND_US = 1_000_000  # microseconds in a second
 # Microseconds in one unit, by unit.
-US_BY_UNIT = {"us": 1, "ms": 1_000, "s": 1_000_000, "m": 60_000_000, "h": 3_600_000_000, "d": 86_400_000_000}
+US_BY_UNIT = {
+    "us": 1,
+    "ms": MILLISECOND_US,
+    "s": SECOND_US,
+    "m": 60_000_000,
+    "h": 3_600_000_000,
+    "d": 86_400_000_000,
+}
 # Bytes in one unit, by unit.
 BYTES_BY_UNIT = {"B": 1, "KB": 1 << 10, "MB": 1 << 20, "GB": 1 << 30}
 
--- a/tests/golden/test_golden_ctl.py
+++ b/tests/golden/test_golden_ctl.py
@@ -49,7 +49,7 @@
 
 def test_counters_keep_their_names() -> None:
     """A renamed counter would be missing in dashboards and alerts that use its former name."""
-    sources = [path for path in sorted(PROGRAM.rglob("*.py")) if "lab" not in path.parts]
+    sources = [path for path in sorted(PROGRAM.rglob("*.py")) if "lab" not in path.relative_to(PROGRAM).parts]
     names = set[str]().union(*(counter_names(path.read_text()) for path in sources))
     assert sorted(names) == read_lines("counters")
 
