Soak: gateways that stand still under load

A request that was open meanwhile may be answered late, but must be answered; no rule on attempts is relaxed.

--- a/lotusstream/lab/soak/judge.py
+++ b/lotusstream/lab/soak/judge.py
@@ -34,6 +34,20 @@
         return self.allowed + deviations * math.sqrt(self.allowed) + deviations
 
 
+@dataclass(frozen=True, slots=True)
+class Stall:
+    """A time in which a gateway's process stood still, Unix seconds."""
+
+    gateway: str
+    began: float
+    ended: float
+
+    def may_delay(self, outcome: Outcome) -> bool:
+        """Whether the gateway may have answered late because of it."""
+        deadline = outcome.sent_at + outcome.time_out
+        return outcome.gateway == self.gateway and outcome.sent_at < self.ended and self.began < deadline
+
+
 @dataclass(slots=True)
 class SoakHistory:
     """What the clients and the servers of one run have recorded."""
@@ -45,6 +59,7 @@
     withdrawn: dict[str, float] = field(default_factory=dict)
     cold: list[ColdStart] = field(default_factory=list)  # the servers that started during the run
     drain_grace: float = 2.0  # seconds after a server is withdrawn in which attempts may still arrive at it
+    stalls: list[Stall] = field(default_factory=list)
 
 
 def check_history(history: SoakHistory) -> list[BrokenRule]:
@@ -55,7 +70,8 @@
     found: list[BrokenRule] = []
     for outcome in history.outcomes:
         own = attempts[outcome.call]
-        found += _missing_answer(outcome, own)
+        is_delayed = any(stall.may_delay(outcome) for stall in history.stalls)
+        found += _missing_answer(outcome, own, is_delayed)
         if outcome.is_foreign:
             found.append(BrokenRule("lost", outcome.call, "answered with the rows of another request"))
         found += late_attempts(outcome, own)
@@ -74,10 +90,15 @@
     return found
 
 
-def _missing_answer(outcome: Outcome, attempts: list[Attempt]) -> list[BrokenRule]:
-    """Returns a violation if the request has no answer in time, unless excused or given up by its client."""
+def _missing_answer(outcome: Outcome, attempts: list[Attempt], is_delayed: bool) -> list[BrokenRule]:
+    """Returns a violation if the request has no answer in time, unless excused or given up by its client.
+
+    :param is_delayed: whether its gateway stood still meanwhile, so that a late answer is no violation.
+    """
     if outcome.excused or outcome.gave_up_at is not None or outcome.in_time:
         return []
+    if is_delayed and outcome.answer is not None:
+        return []
     arrivals = ", ".join(f"{each.server} +{each.at - outcome.sent_at:.3f}" for each in attempts) or "none"
     text = (
         f"{outcome.profile} of gateway {outcome.gateway}: answer {outcome.answer}, "
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,7 +17,7 @@
 from lotusstream.lab.scale.servers import Attempt
 from lotusstream.lab.scale.tcp_times import TICK_SECONDS
 from lotusstream.lab.soak.clients import SoakClients
-from lotusstream.lab.soak.judge import ColdStart, SoakHistory, check_history
+from lotusstream.lab.soak.judge import ColdStart, SoakHistory, Stall, check_history
 from lotusstream.lab.soak.log_check import failed_for_lack_of_processor, faults_in_log, tracebacks_in_log
 from lotusstream.lab.soak.plan import RequestClass, draw_plan
 from lotusstream.lab.soak.processor_wait import ProcessorWait
@@ -103,6 +103,18 @@
     assert broken_rules(overloaded) == ["failback"]
 
 
+def test_answer_may_be_late_only_if_its_gateway_stood_still_meanwhile() -> None:
+    """A gateway that stands still can't answer in time, but it must answer once it runs again."""
+    late = Outcome("a", "booking", 10.0, 1.0, answer="failed", answered_at=11.7, gateway="g0")
+    stalled, other, earlier = history(late), history(late), history(late)
+    stalled.stalls.append(Stall("g0", 10.9, 11.65))
+    other.stalls.append(Stall("g1", 10.9, 11.65))
+    earlier.stalls.append(Stall("g0", 9.0, 9.9))
+    assert [broken_rules(each) for each in (stalled, other, earlier)] == [[], ["lost"], ["lost"]]
+    late.answer = None
+    assert broken_rules(stalled) == ["lost"]
+
+
 def test_time_for_which_a_cut_link_held_an_attempt_is_no_part_of_its_deadline() -> None:
     """The deadline counts from the time of sending, and an attempt that a link held arrives later."""
     held_long, held_short = (Attempt("s", "a", "booking", 10.4, 1.0, held=held) for held in (0.3, 0.1))
