Clients that wait for memory do not delay a shutdown

What callers saw: beside clients with unfinished messages a shutdown took 4.0 s with no request open, past the earliest SIGKILL. Cause: bytes for which there is no memory stay unread, and a shutdown waits for unread bytes. Change: they don't count as unread. The lab and the test share one way to run such clients.

--- a/lotusstream/lab/soak/run.py
+++ b/lotusstream/lab/soak/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -20,6 +19,7 @@
 from lotusstream.lab.soak.plan import Fault, FaultHandlers, FaultKind, SoakPlan
 from lotusstream.lab.soak.processor_wait import SoakGatewayProcess
 from lotusstream.lab.soak.server_faults import ServerFaults
+from lotusstream.lab.unfinished_messages import unfinished_messages
 
 LOAD_BALANCER_DELAY_SECONDS = 0.3  # after SIGTERM; new connections arrive until then
 KILL_GRACE_SECONDS = 0.7  # from SIGTERM to SIGKILL, in addition to the longest deadline (at most 3 s)
@@ -289,25 +289,13 @@
         if (gateway := self._select_gateway(fault)) is None:
             return
         process = gateway.process
-        sending = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *(
-                "-m",
-                "lotusstream.lab.unfinished_messages",
-                str(process.port),
-                str(UNFINISHED_MESSAGE_CLIENTS),
-            ),
-        )
-        try:
+        async with unfinished_messages(process.port, UNFINISHED_MESSAGE_CLIENTS):
             ends_at = time.monotonic() + fault.length
             while time.monotonic() < ends_at and process.running:
                 if (held_mb := process.own_memory_mb()) > self.plan.memory_mb:
                     self._crashes.append(f"{gateway.name} held {held_mb:.1f} of {self.plan.memory_mb} MB")
                     return
                 await asyncio.sleep(WAIT_SAMPLE_SECONDS)
-        finally:
-            sending.kill()
-            await sending.wait()
 
     async def _burst(self, fault: Fault) -> None:
         """Triples the request rate of all clients, for 2 s at most."""
--- a/lotusstream/lab/unfinished_messages.py
+++ b/lotusstream/lab/unfinished_messages.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import sys
+from collections.abc import AsyncIterator
 
 from lotusstream.protocol import front
 
@@ -17,6 +18,20 @@
 RECONNECT_SECONDS = 0.05  # pause after a connection was closed
 
 
+@contextlib.asynccontextmanager
+async def unfinished_messages(port: int, count: int) -> AsyncIterator[None]:
+    """Runs the clients in a process of their own while the block is executed."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "lotusstream.lab.unfinished_messages", str(port), str(count))
+    )
+    try:
+        yield
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+
+
 async def send_unfinished_messages(port: int) -> None:
     """Sends a message that does not end, and another one on a new connection after each close. Returns when
     the port refuses connections."""
@@ -26,6 +41,9 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
         except ConnectionRefusedError:
             return
+        except OSError:
+            await asyncio.sleep(RECONNECT_SECONDS)
+            continue
         writer.write(message)
         with contextlib.suppress(OSError):
             await _send_slowly(reader, writer)
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -129,21 +129,22 @@
 
         :param even_if_unread: also half-closes if received bytes have not been read yet.
         :returns: False if nothing was changed, because a request is open, a reply is being written, or
-            received bytes are unread or being handled. Bytes for which there is no memory don't count.
+            received bytes are unread or being handled.
         """
         if self.open_requests or self._is_handling or self._is_writing or len(self.mailbox):
             return False
-        if self._receiver.is_waiting:
-            self._receiver.is_stopped = True
-        elif self.has_unread_bytes() and not even_if_unread:
+        if self.has_unread_bytes() and not even_if_unread:
             return False
         self._is_closing = True
+        self._receiver.is_stopped = self._receiver.is_waiting
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_WR)
         return True
 
     def has_unread_bytes(self) -> bool:
-        """Whether received bytes wait to be read."""
+        """Whether received bytes wait to be read. Bytes for which there is no memory don't count."""
+        if self._receiver.is_waiting:
+            return False
         try:
             return bool(has_readable_bytes(self._sock))
         except OSError:
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import re
+import signal
 import socket
 import sys
 from pathlib import Path
@@ -16,12 +17,14 @@
 from conftest import World
 
 from lotusstream.counters import Counters
+from lotusstream.lab.unfinished_messages import unfinished_messages
 from lotusstream.net.buffer import Buffer, BufferFullError
 from lotusstream.net.client_memory import ClientAccount, ClientMemory, MemoryBudgetError, MemoryUse
 
 MB = 1 << 20
 UNFINISHED_CLIENT_COUNT = 320  # with the usual ones fewer than a third of the descriptors
 TROUBLE_SECONDS = 3.0
+MAX_SHUTDOWN_SECONDS = 2.0  # without open requests; the shortest shutdown takes 0.7 s
 
 
 def own_memory_mb(pid: int) -> float:
@@ -40,25 +43,33 @@
     world.limits["memory_mb"] = memory_mb
     usual = await world.start()
     assert world.program is not None
-    sending = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "lotusstream.lab.unfinished_messages",
-        str(world.port), str(UNFINISHED_CLIENT_COUNT),
-    )  # fmt: skip
     most_mb = 0.0
     ends_at = asyncio.get_running_loop().time() + TROUBLE_SECONDS
-    try:
+    async with unfinished_messages(world.port, UNFINISHED_CLIENT_COUNT):
         while asyncio.get_running_loop().time() < ends_at:
             most_mb = max(most_mb, own_memory_mb(world.program.pid))
             rows, is_good = await usual.answer(usual.ask())
             assert is_good and rows == b"".join(world.endpoints[0].pages)
             await asyncio.sleep(0.01)
-    finally:
-        sending.kill()
-        await sending.wait()
     assert most_mb < memory_mb
     assert (await world.counters())["memory refused"] > 0
 
 
+async def test_clients_without_memory_do_not_delay_a_shutdown(world: World) -> None:
+    """Bytes for which there is no memory stay unread. A shutdown that waits for them would take until its
+    deadline, 3.6 s, although no request is open."""
+    world.limits["memory_mb"] = 32
+    await world.start()
+    assert world.program is not None
+    async with unfinished_messages(world.port, UNFINISHED_CLIENT_COUNT):
+        while (await world.counters()).get("memory refused", 0) < UNFINISHED_CLIENT_COUNT:
+            await asyncio.sleep(0.02)
+        began = asyncio.get_running_loop().time()
+        world.program.send_signal(signal.SIGTERM)
+        assert await world.wait_for_exit() == 0
+    assert asyncio.get_running_loop().time() - began < MAX_SHUTDOWN_SECONDS
+
+
 def memory_of(memory: int) -> ClientMemory:
     return ClientMemory(memory, Counters())
 
