--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -78,6 +78,11 @@
     return _message("probe", 1, seqid, b"\x02" + struct.pack("!hb", 1, 0))
 
 
+def give_up_message(seqid: int) -> bytes:
+    """Returns the frame that withdraws the request with this number."""
+    return _message("giveUp", 4, 0, b"\x08" + struct.pack("!hi", 1, seqid))
+
+
 class _Reader:
     """Reads values of the strict binary protocol."""
 
