Review case 8: bad clients cost a usual client the answer to its open request

Cause: ClientMemory closes the connection with the fewest valid messages that holds received bytes, without regard to requests that are open on it. Change: a script of the review; nothing outside review/.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -15,9 +15,10 @@
 MEMORY_MB = 32
 BAD_CLIENTS = 24
 BAD_REQUESTS = 40  # requests that each bad client sends and withdraws at once
-UNFINISHED_BYTES = 200_000  # of the message that each bad client begins then
+UNFINISHED_BYTES = 120_000  # of the message that each bad client begins then
+HOLD_S = 1.0  # time after which a bad client closes
 REPORT_MS = 3000  # how long the usual client's first request runs
-LOAD_BYTES = 120_000  # length of the statement that the usual client sends next
+LOAD_BYTES = 40_000  # length of the statement that the usual client sends next
 TTL_MS = 6000
 
 
@@ -33,7 +34,8 @@
         await gateway.start(peers.settings(classes), limits)
         await gateway.ready()
         client = await peers.Client().connect(gateway.port)
-        report = client.ask("report", f"SELECT a FROM sales_3.loans /* {REPORT_MS} ms */", TTL_MS)
+        statement = f"SELECT a FROM sales_3.loans /* {REPORT_MS} ms */"
+        report = client.ask("report", statement, TTL_MS, work=f"{REPORT_MS}.0")
         stage.say("the usual client sends a report")
         await asyncio.sleep(0.3)
         bad: list[asyncio.Task[None]] = []
@@ -61,7 +63,7 @@
 
 
 async def bad_client(port: int, number: int) -> None:
-    """Sends requests and withdraws them at once, then the beginning of a long message; comes back if closed."""
+    """Sends requests that it withdraws at once and half a message, closes, and comes again."""
     while True:
         with contextlib.suppress(OSError):
             await bad_connection(port, number)
@@ -69,7 +71,7 @@
 
 
 async def bad_connection(port: int, number: int) -> None:
-    """Serves one connection of a bad client: reads whatever comes until the gateway closes it."""
+    """Serves one connection of a bad client: reads whatever comes until it closes."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
         for seqid in range(1, BAD_REQUESTS + 1):
--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -32,6 +32,7 @@
 ABANDONED_S = 2.0  # an engine drops a query that was not asked for in this time
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 _DURATION = re.compile(r"/\* (\d+) ms \*/")
+_READERS: set[asyncio.Task[None]] = set()  # keeps the tasks that read answers from being collected
 _IDS = itertools.count(int(time.time()) << 24)
 
 
@@ -155,6 +156,7 @@
         """Connects to a gateway."""
         self._reader, self.writer = await asyncio.open_connection("127.0.0.1", port)
         self._task = asyncio.create_task(self._read())
+        _READERS.add(self._task)
         return self
 
     async def _read(self) -> None:
