Review case 9: an aborted move hides a completed one, and a load runs in two cells

Cause: the recovery of the migration log keeps only a tenant's last migration, and only if it is done, so a rolled back one hides the completed one before it. Change: a script of the review; nothing outside review/.

--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -243,20 +243,21 @@
     def __init__(self, window_s: float) -> None:
         self.window_s = window_s
         self.applied: list[tuple[float, str, str]] = []  # time, mark or id, engine
-        self._marks: dict[str, tuple[float, bytes]] = {}  # when a mark was first seen, and its result
+        # by group and mark: when the mark was first seen there, and its result
+        self._marks: dict[tuple[int, str], tuple[float, bytes]] = {}
 
-    def remembers(self, mark: str) -> bool:
-        """Whether the engines drop a repeat of this mark now."""
-        known = self._marks.get(mark)
+    def remembers(self, group: int, mark: str) -> bool:
+        """Whether the engines of a group drop a repeat of this mark now."""
+        known = self._marks.get((group, mark))
         return known is not None and time.time() - known[0] < self.window_s
 
-    def see(self, mark: str, rows: bytes) -> None:
-        """Begins to remember a mark."""
-        self._marks[mark] = (time.time(), rows)
+    def see(self, group: int, mark: str, rows: bytes) -> None:
+        """Begins to remember a mark in a group of engines."""
+        self._marks[group, mark] = (time.time(), rows)
 
-    def rows_of(self, mark: str) -> bytes:
-        """Returns the result of the first run with this mark."""
-        return self._marks[mark][1]
+    def rows_of(self, group: int, mark: str) -> bytes:
+        """Returns the result of the first run with this mark in a group."""
+        return self._marks[group, mark][1]
 
     def count(self, mark: str) -> int:
         """Returns how often the mark was applied."""
@@ -280,11 +281,12 @@
 class Engine:
     """A sound engine. A statement runs for the time that its comment names: /* 800 ms */.
 
-    `pace` multiplies the time that a statement takes; it may be changed while statements run.
+    It stands still until `stalled_until`. Engines of one `group` drop repeats of each other's marks.
     """
 
     def __init__(self, uid: str, store: Store, record: Record) -> None:
         self.uid, self.store, self._record = uid, store, record
+        self.group = 0
         self.port = 0
         self.queries: dict[str, Query] = {}
         self.posts: list[tuple[float, Call]] = []
@@ -310,7 +312,7 @@
             "endpoint": f"127.0.0.1:{self.port}",
             "az": "here",
             "model": "std",
-            "pod_group": 0,
+            "pod_group": self.group,
             "state": "ready",
             "capacity_hint": 1,
             "boot_ms": 0,
@@ -345,10 +347,10 @@
         found = _DURATION.search(call.body[-200:].decode())
         seconds = int(found[1]) / 1000 if found else 0.1
         keyed = "x-dedupe" in call.headers
-        dropped = keyed and self.store.remembers(mark)
-        rows = self.store.rows_of(mark) if dropped else f"{mark}\t{self.uid}\tdone\n".encode()
+        dropped = keyed and self.store.remembers(self.group, mark)
+        rows = self.store.rows_of(self.group, mark) if dropped else f"{mark}\t{self.uid}\tdone\n".encode()
         if keyed and not dropped:
-            self.store.see(mark, rows)
+            self.store.see(self.group, mark, rows)
         query = Query(call, now, seconds, rows, mark, dropped, now)
         self.queries[query_id] = query
         how = "a repeat that is dropped" if dropped else f"runs {seconds:g} s"
@@ -525,12 +527,16 @@
             "settings": configured,
         }
         (self.folder / "config.json").write_text(json.dumps(configuration))
+        if operator_lines is not None:
+            (self.folder / "operator.conf").write_text("\n".join([*operator_lines, ""]))
+        await self._spawn()
+
+    async def _spawn(self) -> None:
         environment = dict(os.environ, ROUTER_CONFIG=str(self.folder / "config.json"))
         environment.update(ROUTER_NAME=self.name, ROUTER_LISTEN=f"127.0.0.1:{self.port}")
         environment.update(TMPDIR=str(self.folder))
         environment.pop("LOTUSSTREAM_OPERATOR", None)
-        if operator_lines is not None:
-            (self.folder / "operator.conf").write_text("\n".join([*operator_lines, ""]))
+        if (self.folder / "operator.conf").exists():
             environment["LOTUSSTREAM_OPERATOR"] = str(self.folder / "operator.conf")
         with (self.folder / "log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -553,6 +559,10 @@
             await asyncio.sleep(0.05)
         raise NotReadyError(f"{self.name} is not ready: {self.log()[-500:]}")
 
+    async def restart(self) -> None:
+        """Starts the ended process again with the same files."""
+        await self._spawn()
+
     def log(self) -> str:
         """Returns what the process has written."""
         return (self.folder / "log").read_text(errors="replace")
@@ -589,13 +599,17 @@
 class Stage:
     """All that a case starts; `async with` ends it again."""
 
-    def __init__(self, case_file: str, engines: int, window_s: float = 15.0) -> None:
+    def __init__(
+        self, case_file: str, engines: int, window_s: float = 15.0, groups: tuple[int, ...] = ()
+    ) -> None:
         self.case_folder = Path(case_file).resolve().parent
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.record = Record(self.case_folder)
         self.store = Store(window_s)
         self.board = Board()
         self.engines = [Engine(f"e-{number}", self.store, self.record) for number in range(1, engines + 1)]
+        for engine, group in zip(self.engines, groups, strict=False):
+            engine.group = group
         self.gateways: list[Gateway] = []
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
 
