--- a/review/8/case.py
+++ b/review/8/case.py
@@ -12,13 +12,13 @@
 
 import peers_2 as peers
 
-MEMORY_MB = 32
-BAD_CLIENTS = 24
+MEMORY_MB = 192
+BAD_CLIENTS = 200
 BAD_REQUESTS = 40  # requests that each bad client sends and withdraws at once
-UNFINISHED_BYTES = 120_000  # of the message that each bad client begins then
+UNFINISHED_BYTES = 200_000  # of the message that each bad client begins then
 HOLD_S = 1.0  # time after which a bad client closes
 REPORT_MS = 3000  # how long the usual client's first request runs
-LOAD_BYTES = 40_000  # length of the statement that the usual client sends next
+LOAD_BYTES = 100_000  # length of the statement that the usual client sends next
 TTL_MS = 6000
 
 
@@ -30,7 +30,7 @@
     ]
     async with peers.Stage(__file__, engines=4) as stage:
         gateway = stage.gateway("g1")
-        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 512}
+        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
         await gateway.start(peers.settings(classes), limits)
         await gateway.ready()
         client = await peers.Client().connect(gateway.port)
