--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,9 @@
-"""A planned restart loses keyed loads whose answers have come and could not be stored yet."""
+"""Keyed requests run twice: engines that hung read the sends that the gateway had given up long before."""
 
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import sys
 from pathlib import Path
@@ -11,61 +12,59 @@
 
 import peers_2 as peers
 
-COUNT = 16  # loads
-RUN_MS = 2000  # how long each load runs
-WORK_MS = "4000.0"  # the client's estimate: two threads for that time
-TERM_AT_S = 1.0  # after the loads were sent
-TTL_MS = 25_000
-NAMES = ["g1", "g2", "g3"]
-DIRECTIVES = ["copies 3 promise 2", "remember 10m", "lease 10s"]
+WINDOW_S = 3.0  # how long the engines drop a repeat of a mark
+HANG_S, BEFORE_S = 6.0, 4.0  # how long two of ten engines hang, and the time before
+RATE = 60  # requests a second
+TTL_MS = 6000
 
 
 async def case() -> bool:
-    """Sends loads by one gateway, and ends it by SIGTERM while they run."""
-    classes = [
-        peers.request_class("lookup", "repeatable", 1.2, 6),
-        peers.request_class("load", "by_key", 3, 25),
-    ]
-    async with peers.Stage(__file__, engines=6) as stage:
-        configured = peers.settings(classes, n_instances=3)
-        gateways = await stage.fleet(NAMES, configured, DIRECTIVES, shards=16, tasks=set(NAMES))
-        target = await assigning_gateway(gateways)
-        stage.say(f"{target.name} assigns the shards")
-        client = await peers.Client().connect(target.port)
-        marks = [peers.new_id() * 2 for _ in range(COUNT)]
-        asked = {
-            mark: client.ask("load", statement(number), TTL_MS, dedupe=mark, work=WORK_MS)
-            for number, mark in enumerate(marks)
-        }
-        stage.say(f"the client sends {COUNT} loads to {target.name}")
-        await asyncio.sleep(TERM_AT_S)
-        if stage.trouble:
-            stage.say(f"{target.name} gets SIGTERM")
-            target.signal(signal.SIGTERM)
-        replies = {mark: await asked[mark] for mark in marks}
-        for mark, reply in replies.items():
-            stage.say(f"mark {mark}: {reply.how} {reply.fields}, applied {stage.store.count(mark)} times")
-        if stage.trouble and target.process is not None:
-            status = await asyncio.wait_for(target.process.wait(), 30)
-            stage.say(f"{target.name} has ended with status {status}")
-        lost = [mark for mark, reply in replies.items() if reply.how == "closed"]
-        for mark in lost:
-            stage.say(f"BROKEN: mark {mark} got no answer, and was applied {stage.store.count(mark)} times")
-        return not lost
+    """Sends marked requests, each once, while two engines are stopped and continued."""
+    classes = [peers.request_class("lookup", "by_key", 1.2, 6, window=int(WINDOW_S * 1e6))]
+    async with peers.Stage(__file__, engines=8, window_s=WINDOW_S, engine_processes=2) as stage:
+        gateway = stage.gateway("g1")
+        await gateway.start(peers.settings(classes), {"cores": 1.0, "memory_mb": 192, "sockets": 1024})
+        await gateway.ready()
+        asked: dict[str, asyncio.Future[peers.Reply]] = {}
+        sending = asyncio.create_task(send(gateway.port, asked))
+        await asyncio.sleep(BEFORE_S)
+        await hang(stage)
+        await asyncio.sleep(2)
+        sending.cancel()
+        for reply in asked.values():
+            await asyncio.wait([reply])
+        await asyncio.sleep(1)
+        twice = [mark for mark in asked if stage.store.count(mark) > 1]
+        stage.say(f"{len(asked)} requests, each sent once by its client")
+        for mark in twice:
+            runs = [f"at {uid}" for _, each, uid in stage.store.applied if each == mark]
+            stage.say(f"BROKEN: mark {mark} was applied {len(runs)} times: {', '.join(runs)}")
+        return not twice
 
 
-async def assigning_gateway(gateways: list[peers.Gateway]) -> peers.Gateway:
-    """Returns the gateway that holds the lease of the task `copies`."""
-    for gateway in gateways:
-        here = ((await gateway.ctl("leases")) or {}).get("here", {})
-        if here.get("copies"):
-            return gateway
-    raise peers.NotReadyError("no gateway assigns the shards")
+async def hang(stage: peers.Stage) -> None:
+    """Stops two engines for a time."""
+    if stage.trouble:
+        stage.say(f"{' and '.join(each.engine.uid for each in stage.engine_processes)} hang")
+        for each in stage.engine_processes:
+            each.signal(signal.SIGSTOP)
+    await asyncio.sleep(HANG_S)
+    for each in stage.engine_processes:
+        each.signal(signal.SIGCONT)
+    stage.say("they go on")
 
 
-def statement(number: int) -> str:
-    """Returns a load of a table group of its own."""
-    return f"INSERT INTO sales_{number + 1}.orders SELECT * FROM staging.batch /* {RUN_MS} ms */"
+async def send(port: int, asked: dict[str, asyncio.Future[peers.Reply]]) -> None:
+    """Sends requests over several connections."""
+    draws = random.Random(1)
+    clients = [await peers.Client().connect(port) for _ in range(8)]
+    while True:
+        mark = peers.new_id() * 2
+        run_ms = draws.choice([60, 150, 300])
+        statement = f"SELECT a FROM sales_{draws.randrange(12)}.loans /* {run_ms} ms */"
+        client = draws.choice(clients)
+        asked[mark] = client.ask("lookup", statement, TTL_MS, dedupe=mark, work=f"{run_ms}.0")
+        await asyncio.sleep(draws.expovariate(RATE))
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,9 @@
-"""A usual client loses its open request while other clients send unfinished messages."""
+"""A planned restart loses keyed loads whose answers have come and could not be stored yet."""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import struct
+import signal
 import sys
 from pathlib import Path
 
@@ -12,79 +11,61 @@
 
 import peers_2 as peers
 
-MEMORY_MB = 192
-BAD_CLIENTS = 200
-BAD_REQUESTS = 40  # requests that each bad client sends and withdraws at once
-UNFINISHED_BYTES = 200_000  # of the message that each bad client begins then
-HOLD_S = 1.0  # time after which a bad client closes
-REPORT_MS = 3000  # how long the usual client's first request runs
-LOAD_BYTES = 100_000  # length of the statement that the usual client sends next
-TTL_MS = 6000
+COUNT = 16  # loads
+RUN_MS = 2000  # how long each load runs
+WORK_MS = "4000.0"  # the client's estimate: two threads for that time
+TERM_AT_S = 1.0  # after the loads were sent
+TTL_MS = 25_000
+NAMES = ["g1", "g2", "g3"]
+DIRECTIVES = ["copies 3 promise 2", "remember 10m", "lease 10s"]
 
 
 async def case() -> bool:
-    """Sends a report, then a long load on the same connection, with bad clients beside it."""
+    """Sends loads by one gateway, and ends it by SIGTERM while they run."""
     classes = [
-        peers.request_class("report", "repeatable", 3, 6),
-        peers.request_class("load", "once", 3, 6),
+        peers.request_class("lookup", "repeatable", 1.2, 6),
+        peers.request_class("load", "by_key", 3, 25),
     ]
-    async with peers.Stage(__file__, engines=4) as stage:
-        gateway = stage.gateway("g1")
-        limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
-        await gateway.start(peers.settings(classes), limits)
-        await gateway.ready()
-        client = await peers.Client().connect(gateway.port)
-        statement = f"SELECT a FROM sales_3.loans /* {REPORT_MS} ms */"
-        report = client.ask("report", statement, TTL_MS, work=f"{REPORT_MS}.0")
-        stage.say("the usual client sends a report")
-        await asyncio.sleep(0.3)
-        bad: list[asyncio.Task[None]] = []
+    async with peers.Stage(__file__, engines=6) as stage:
+        configured = peers.settings(classes, n_instances=3)
+        gateways = await stage.fleet(NAMES, configured, DIRECTIVES, shards=16, tasks=set(NAMES))
+        target = await assigning_gateway(gateways)
+        stage.say(f"{target.name} assigns the shards")
+        client = await peers.Client().connect(target.port)
+        marks = [peers.new_id() * 2 for _ in range(COUNT)]
+        asked = {
+            mark: client.ask("load", statement(number), TTL_MS, dedupe=mark, work=WORK_MS)
+            for number, mark in enumerate(marks)
+        }
+        stage.say(f"the client sends {COUNT} loads to {target.name}")
+        await asyncio.sleep(TERM_AT_S)
         if stage.trouble:
-            stage.say(f"{BAD_CLIENTS} bad clients come")
-            bad = [asyncio.create_task(bad_client(gateway.port, number)) for number in range(BAD_CLIENTS)]
-        await asyncio.sleep(0.3)
-        load = client.ask("load", long_statement(), TTL_MS)
-        stage.say(f"the usual client sends a load with a statement of {LOAD_BYTES} bytes")
-        answers = {"report": await report, "load": await load}
-        for name, reply in answers.items():
-            stage.say(f"{name}: {reply.how} {reply.fields}")
-        for task in bad:
-            task.cancel()
-        await asyncio.gather(*bad, return_exceptions=True)
-        if answers["report"].how == "closed":
-            stage.say("BROKEN: the connection ended with no answer to the report")
-        return answers["report"].how != "closed"
+            stage.say(f"{target.name} gets SIGTERM")
+            target.signal(signal.SIGTERM)
+        replies = {mark: await asked[mark] for mark in marks}
+        for mark, reply in replies.items():
+            stage.say(f"mark {mark}: {reply.how} {reply.fields}, applied {stage.store.count(mark)} times")
+        if stage.trouble and target.process is not None:
+            status = await asyncio.wait_for(target.process.wait(), 30)
+            stage.say(f"{target.name} has ended with status {status}")
+        lost = [mark for mark, reply in replies.items() if reply.how == "closed"]
+        for mark in lost:
+            stage.say(f"BROKEN: mark {mark} got no answer, and was applied {stage.store.count(mark)} times")
+        return not lost
 
 
-def long_statement() -> str:
-    """Returns a load of many rows."""
-    rows = ",".join(f"({number},'title {number:06}')" for number in range(LOAD_BYTES // 26))
-    return f"INSERT INTO sales_4.titles VALUES {rows} /* 100 ms */"
+async def assigning_gateway(gateways: list[peers.Gateway]) -> peers.Gateway:
+    """Returns the gateway that holds the lease of the task `copies`."""
+    for gateway in gateways:
+        here = ((await gateway.ctl("leases")) or {}).get("here", {})
+        if here.get("copies"):
+            return gateway
+    raise peers.NotReadyError("no gateway assigns the shards")
 
 
-async def bad_client(port: int, number: int) -> None:
-    """Sends requests that it withdraws at once and half a message, closes, and comes again."""
-    while True:
-        with contextlib.suppress(OSError):
-            await bad_connection(port, number)
-        await asyncio.sleep(0.01)
-
-
-async def bad_connection(port: int, number: int) -> None:
-    """Serves one connection of a bad client: reads whatever comes until it closes."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    try:
-        for seqid in range(1, BAD_REQUESTS + 1):
-            fields = {"op": "report", "call": peers.new_id(), "ttl": "3000", "work": "200.0", "mem": "96"}
-            statement = f"SELECT a FROM sales_{number}.loans /* 3000 ms */"
-            writer.write(peers.process_message(seqid, fields, statement) + peers.give_up_message(seqid))
-        writer.write(
-            struct.pack("!i", UNFINISHED_BYTES + 1000) + b"\x80\x01\x00\x01" + bytes(UNFINISHED_BYTES)
-        )
-        while await reader.read(65536):
-            pass
-    finally:
-        writer.close()
+def statement(number: int) -> str:
+    """Returns a load of a table group of its own."""
+    return f"INSERT INTO sales_{number + 1}.orders SELECT * FROM staging.batch /* {RUN_MS} ms */"
 
 
 if __name__ == "__main__":
