Review case 8: the default number of shards and more loads

Cause: with 16 shards the ended gateway could be the home of only 3 of them, so that few loads were affected. Change: 64 shards, the default, and 30 loads.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,12 +11,12 @@
 
 import peers_2 as peers
 
-COUNT = 16  # loads
+COUNT = 30  # loads
 RUN_MS = 2000  # how long each load runs
 WORK_MS = "4000.0"  # the client's estimate: two threads for that time
 TERM_AT_S = 1.0  # after the loads were sent
 TTL_MS = 25_000
-NAMES = ["g1", "g2", "g3"]
+NAMES = ["n1", "n2", "n3"]
 DIRECTIVES = ["copies 3 promise 2", "remember 10m", "lease 10s"]
 
 
@@ -28,7 +28,7 @@
     ]
     async with peers.Stage(__file__, engines=6) as stage:
         configured = peers.settings(classes, n_instances=3)
-        gateways = await stage.fleet(NAMES, configured, DIRECTIVES, shards=16, tasks=set(NAMES))
+        gateways = await stage.fleet(NAMES, configured, DIRECTIVES, shards=64, tasks=set(NAMES))
         target = await assigning_gateway(gateways)
         stage.say(f"{target.name} assigns the shards")
         client = await peers.Client().connect(target.port)
