--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -831,11 +831,18 @@
         raise NotReadyError("the shards have not got all their copies")
 
 
+async def _run(case: Callable[[], Awaitable[bool]]) -> bool:
+    """Runs a case for 110 seconds at most. SIGTERM ends it and all that it started."""
+    task = asyncio.ensure_future(case())
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await asyncio.wait_for(task, 110)
+
+
 def main(case: Callable[[], Awaitable[bool]]) -> None:
     """Runs a case, which returns whether the rule held, and exits with the status that the issue asks for."""
     try:
-        held = asyncio.run(asyncio.wait_for(case(), 110))
-    except (NotReadyError, TimeoutError, OSError) as error:
+        held = asyncio.run(_run(case))
+    except (NotReadyError, TimeoutError, OSError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}")
         sys.exit(NOT_RUN)
     print("the rule held" if held else "the rule was broken")
