Review: case 7 on hung engines is withdrawn, the case on order has its place

Cause: a trace of every call showed that the stand-in of case 7 was at fault. An engine in a process of its own asked for the mark before it knew the query, so a DELETE that it read in that moment had no effect.

Change: the engine processes are gone from peers_2.py, and review/7 is the case that had given up its place to them: loads of one table overlap (order). Nothing outside review/.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,70 +1,65 @@
-"""Keyed requests run twice: engines that hung read the sends that the gateway had given up long before."""
+"""Two loads of one table overlap, and the earlier one is applied last."""
 
 from __future__ import annotations
 
 import asyncio
-import random
-import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 import peers_2 as peers
 
-WINDOW_S = 3.0  # how long the engines drop a repeat of a mark
-HANG_S, BEFORE_S = 6.0, 4.0  # how long two of ten engines hang, and the time before
-RATE = 60  # requests a second
-TTL_MS = 6000
+PAIRS = 5  # pairs of loads, each of a table of its own
+FIRST_MS, SECOND_MS = 1000, 150  # how long the loads of a pair run
+SECOND_AT_S = 1.15  # after the first load was sent
+STALL_AT_S, STALL_S = 0.7, 0.5  # after the first load was sent: its engine stands still
+TTL_MS = 25_000
 
 
 async def case() -> bool:
-    """Sends marked requests, each once, while two engines are stopped and continued."""
-    classes = [peers.request_class("lookup", "by_key", 1.2, 6, window=int(WINDOW_S * 1e6))]
-    async with peers.Stage(__file__, engines=8, window_s=WINDOW_S, engine_processes=2) as stage:
+    """Sends pairs of loads; the engine of each first load stands still once."""
+    classes = [
+        peers.request_class("lookup", "repeatable", 1, 5),
+        peers.request_class("load", "once", 3, 25, fifo_by_key=True),
+    ]
+    configured = peers.settings(classes)
+    configured["rules"]["key_rest"] = 300_000
+    async with peers.Stage(__file__, engines=6) as stage:
         gateway = stage.gateway("g1")
-        await gateway.start(peers.settings(classes), {"cores": 1.0, "memory_mb": 192, "sockets": 1024})
+        await gateway.start(configured, {"cores": 1.0, "memory_mb": 192, "sockets": 512})
         await gateway.ready()
-        asked: dict[str, asyncio.Future[peers.Reply]] = {}
-        sending = asyncio.create_task(send(gateway.port, asked))
-        await asyncio.sleep(BEFORE_S)
-        await hang(stage)
-        await asyncio.sleep(2)
-        sending.cancel()
-        for reply in asked.values():
-            await asyncio.wait([reply])
-        await asyncio.sleep(1)
-        twice = [mark for mark in asked if stage.store.count(mark) > 1]
-        stage.say(f"{len(asked)} requests, each sent once by its client")
-        for mark in twice:
-            runs = [f"at {uid}" for _, each, uid in stage.store.applied if each == mark]
-            stage.say(f"BROKEN: mark {mark} was applied {len(runs)} times: {', '.join(runs)}")
-        return not twice
+        client = await peers.Client().connect(gateway.port)
+        held = True
+        for number in range(1, PAIRS + 1):
+            held = await pair(stage, client, number) and held
+            await asyncio.sleep(0.5)
+        return held
 
 
-async def hang(stage: peers.Stage) -> None:
-    """Stops two engines for a time."""
+async def pair(stage: peers.Stage, client: peers.Client, table: int) -> bool:
+    """Sends two loads of a table, and returns whether the first was over before the second was sent on."""
+    first_id, second_id = peers.new_id(), peers.new_id()
+    first = client.ask("load", statement(table, "first", FIRST_MS), TTL_MS, call=first_id, work="2000.0")
+    await asyncio.sleep(STALL_AT_S)
     if stage.trouble:
-        stage.say(f"{' and '.join(each.engine.uid for each in stage.engine_processes)} hang")
-        for each in stage.engine_processes:
-            each.signal(signal.SIGSTOP)
-    await asyncio.sleep(HANG_S)
-    for each in stage.engine_processes:
-        each.signal(signal.SIGCONT)
-    stage.say("they go on")
+        engine = next(each for each in stage.engines if first_id in each.queries)
+        engine.stalled_until = time.time() + STALL_S
+        stage.say(f"{engine.uid} stands still for {STALL_S} s")
+    await asyncio.sleep(SECOND_AT_S - STALL_AT_S)
+    second = client.ask("load", statement(table, "second", SECOND_MS), TTL_MS, call=second_id, work="300.0")
+    replies = [await first, await second]
+    stage.say(f"sales_{table}: first {replies[0].how}, second {replies[1].how}")
+    order = [mark for _, mark, _ in stage.store.applied if mark in (first_id, second_id)]
+    if order == [second_id, first_id]:
+        stage.say(f"BROKEN: sales_{table} holds the first load, which was applied after the second")
+    return order != [second_id, first_id]
 
 
-async def send(port: int, asked: dict[str, asyncio.Future[peers.Reply]]) -> None:
-    """Sends requests over several connections."""
-    draws = random.Random(1)
-    clients = [await peers.Client().connect(port) for _ in range(8)]
-    while True:
-        mark = peers.new_id() * 2
-        run_ms = draws.choice([60, 150, 300])
-        statement = f"SELECT a FROM sales_{draws.randrange(12)}.loans /* {run_ms} ms */"
-        client = draws.choice(clients)
-        asked[mark] = client.ask("lookup", statement, TTL_MS, dedupe=mark, work=f"{run_ms}.0")
-        await asyncio.sleep(draws.expovariate(RATE))
+def statement(table: int, name: str, run_ms: int) -> str:
+    """Returns a load that replaces what a table holds."""
+    return f"INSERT OVERWRITE sales_{table}.readings VALUES ('{name}', 1, 1) /* {run_ms} ms */"
 
 
 if __name__ == "__main__":
--- a/review/peers_2.py
+++ b/review/peers_2.py
@@ -284,7 +284,7 @@
     It stands still until `stalled_until`. Engines of one `group` drop repeats of each other's marks.
     """
 
-    def __init__(self, uid: str, store: Store, record: Record | _RemoteRecord) -> None:
+    def __init__(self, uid: str, store: Store, record: Record) -> None:
         self.uid, self.store, self._record = uid, store, record
         self.group = 0
         self.port = 0
@@ -347,7 +347,7 @@
         found = _DURATION.search(call.body[-200:].decode())
         seconds = int(found[1]) / 1000 if found else 0.1
         rows = f"{mark}\t{self.uid}\tdone\n".encode()
-        known = await self.claim(mark, rows) if "x-dedupe" in call.headers else None
+        known = self.claim(mark, rows) if "x-dedupe" in call.headers else None
         dropped = known is not None
         rows = known or rows
         query = Query(call, now, seconds, rows, mark, dropped, now)
@@ -357,14 +357,14 @@
         asyncio.get_running_loop().create_task(self._run(query_id, query))
         return await self._news(query)
 
-    async def claim(self, mark: str, rows: bytes) -> bytes | None:
+    def claim(self, mark: str, rows: bytes) -> bytes | None:
         """Begins to remember a mark. Returns the result of its first run if it is remembered already."""
         if self.store.remembers(self.group, mark):
             return self.store.rows_of(self.group, mark)
         self.store.see(self.group, mark, rows)
         return None
 
-    async def apply(self, mark: str) -> None:
+    def apply(self, mark: str) -> None:
         """Applies a statement."""
         self.store.applied.append((time.time(), mark, self.uid))
 
@@ -382,7 +382,7 @@
         if not query.over:
             query.over = "dropped" if query.dropped else "applied"
             if not query.dropped:
-                await self.apply(query.mark)
+                self.apply(query.mark)
         self._record.say(f"{self.uid}: {query_id} mark {query.mark}: {query.over}")
 
     async def _news(self, query: Query) -> bytes:
@@ -434,118 +434,6 @@
         )
 
 
-class RemoteStore(Store):
-    """The store, as an engine in a process of its own uses it: over one connection to the test's process."""
-
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        super().__init__(0.0)
-        self._reader, self._writer, self._turn = reader, writer, asyncio.Lock()
-
-    async def call(self, *what: object) -> Any:
-        """Sends a question and returns the answer."""
-        async with self._turn:
-            self._writer.write(json.dumps(what).encode() + b"\n")
-            return json.loads(await self._reader.readline())
-
-
-class EngineProcess:
-    """An engine in a process of its own, which may be stopped and continued by signals."""
-
-    def __init__(self, uid: str, store: Store, record: Record) -> None:
-        self.engine = Engine(uid, store, record)  # for its entry; it doesn't listen
-        self._store, self._record = store, record
-        self.process: asyncio.subprocess.Process | None = None
-        self.posts: list[tuple[float, str]] = []  # when it has read a POST, and the mark
-        self._listening = asyncio.Event()
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Starts the process, and waits until it listens."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, str(Path(__file__).resolve()), str(port), self.engine.uid, start_new_session=True
-        )
-        await asyncio.wait_for(self._listening.wait(), 10)
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with contextlib.suppress(OSError):
-            while line := await reader.readline():
-                writer.write(json.dumps(self._answer(*json.loads(line))).encode() + b"\n")
-        writer.close()
-
-    def _answer(self, kind: str, first: Any, mark: str, rows: str) -> Any:
-        store, group = self._store, self.engine.group
-        if kind == "listens":
-            self.engine.port = first
-            self._listening.set()
-        elif kind == "say":
-            self._record.say(rows)
-        elif kind == "applied":
-            store.applied.append((time.time(), mark, self.engine.uid))
-        elif kind == "see":
-            self.posts.append((time.time(), mark))
-            if store.remembers(group, mark):
-                return store.rows_of(group, mark).decode()
-            store.see(group, mark, rows.encode())
-        return None
-
-    def signal(self, number: int) -> None:
-        """Sends a signal to the process."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(number)
-
-    async def stop(self) -> None:
-        """Ends the process."""
-        self.signal(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
-        if self._server is not None:
-            self._server.close()
-
-
-class _RemoteEngine(Engine):
-    """The engine inside the process of an `EngineProcess`."""
-
-    def __init__(self, uid: str, store: RemoteStore, record: _RemoteRecord) -> None:
-        super().__init__(uid, store, record)
-        self._remote = store
-
-    async def claim(self, mark: str, rows: bytes) -> bytes | None:
-        """Asks the test's process, which holds the marks of all engines."""
-        known = await self._remote.call("see", 0, mark, rows.decode())
-        return None if known is None else known.encode()
-
-    async def apply(self, mark: str) -> None:
-        """Tells the test's process."""
-        await self._remote.call("applied", 0, mark, "")
-
-
-class _RemoteRecord:
-    """Sends lines of the record to the test's process."""
-
-    def __init__(self, store: RemoteStore) -> None:
-        self._store = store
-        self._tasks: set[asyncio.Task[Any]] = set()
-
-    def say(self, text: str) -> None:
-        """Sends a line."""
-        task = asyncio.get_running_loop().create_task(self._store.call("say", 0, "", text))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-
-async def serve_engine(port: int, uid: str) -> None:
-    """Runs an engine until the test's process ends."""
-    store = RemoteStore(*await asyncio.open_connection("127.0.0.1", port))
-    engine = _RemoteEngine(uid, store, _RemoteRecord(store))
-    await engine.start()
-    await store.call("listens", engine.port, "", "")
-    parent = os.getppid()
-    while os.getppid() == parent:
-        await asyncio.sleep(0.5)
-
-
 # Gateways
 
 
@@ -727,7 +615,6 @@
         engines: int,
         window_s: float = 15.0,
         groups: tuple[int, ...] = (),
-        engine_processes: int = 0,
     ) -> None:
         self.case_folder = Path(case_file).resolve().parent
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
@@ -737,26 +624,19 @@
         self.engines = [Engine(f"e-{number}", self.store, self.record) for number in range(1, engines + 1)]
         for engine, group in zip(self.engines, groups, strict=False):
             engine.group = group
-        self.engine_processes = [
-            EngineProcess(f"p-{number}", self.store, self.record) for number in range(1, engine_processes + 1)
-        ]
         self.gateways: list[Gateway] = []
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def __aenter__(self) -> Stage:
         for engine in self.engines:
             await engine.start()
-        for each in self.engine_processes:
-            await each.start()
-        await self.board.start([*self.engines, *(each.engine for each in self.engine_processes)])
+        await self.board.start(self.engines)
         return self
 
     async def __aexit__(self, *_: object) -> None:
         await asyncio.gather(*(gateway.end() for gateway in self.gateways), return_exceptions=True)
         for engine in self.engines:
             engine.stop()
-        for each in self.engine_processes:
-            await each.stop()
         self.board.stop()
         await asyncio.sleep(0.1)  # lets the tasks of ended connections close them
         kept = os.environ.get("REVIEW_KEEP")
@@ -847,7 +727,3 @@
         sys.exit(NOT_RUN)
     print("the rule held" if held else "the rule was broken")
     sys.exit(HELD if held else BROKEN)
-
-
-if __name__ == "__main__":
-    asyncio.run(serve_engine(int(sys.argv[1]), sys.argv[2]))
