Tests: a collection while a failure is written down does not end the run

A collection in the middle of `ast.parse` ran the finalizer of a stand-in's StreamWriter, whose loop was closed; pytest reports that with its traceback, which parses source as well, and on 3.11 the outer parse then fails.

Change: no collection while a test's report is made (tests/failure_report.py), and scripted endpoints close their connections when the test ends.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import pytest
+from failure_report import pytest_runtest_makereport
 from hypothesis import settings as hypothesis_settings
 from known_red import pytest_collection_modifyitems, pytest_terminal_summary
 
@@ -41,6 +42,7 @@
     "StandInClient",
     "http_answer",
     "pytest_collection_modifyitems",
+    "pytest_runtest_makereport",
     "pytest_terminal_summary",
 ]  # fmt: skip
 
--- a/tests/net/scripted_endpoint.py
+++ b/tests/net/scripted_endpoint.py
@@ -23,7 +23,9 @@
             while True:
                 await self._serve_call(reader, writer)
         except (asyncio.IncompleteReadError, OSError):
-            writer.close()
+            pass
+        finally:
+            writer.close()  # also when the test ends: a writer that is collected later reports a closed loop
 
     async def _serve_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Reads one call and responds to it."""
