Loads of one table run one at a time and in their order on sockets

Cause: the network code passed no key to the decision module, so KeyOrdering never ordered anything on sockets.

Change: the table group of the statement is the key.

--- a/lotusstream/net/request_lifecycle.py
+++ b/lotusstream/net/request_lifecycle.py
@@ -157,7 +157,7 @@
         fields.memory_mb,
         max(0, received.deadline - now),
         received.group,
-        None,
+        received.group,  # the key: loads of one table group are ordered
         tenant=received.tenant,
         queue_delay=max(0, queue_delay),
     )
--- a/lotusstream/policy/key_ordering.py
+++ b/lotusstream/policy/key_ordering.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from itertools import takewhile
 
 from lotusstream import interface as api
 from lotusstream.policy.context import DecisionContext
@@ -20,7 +21,8 @@
     def __init__(self, context: DecisionContext) -> None:
         self._context = context
         self._queues: dict[int, deque[Request]] = {}  # requests by key, in order of arrival
-        self._quarantined_until: dict[int, int] = {}  # end of the quarantine by key, microseconds
+        # End of the quarantine by key, microseconds; the earliest end first.
+        self._quarantined_until: dict[int, int] = {}
 
     def enqueue(self, request: Request) -> None:
         """Adds a new request to the queue of its key, if it has a key."""
@@ -38,9 +40,17 @@
     def on_outcome(self, request: Request, outcome: api.Outcome) -> None:
         """Quarantines the request's key if the attempt may still be running."""
         if request.key is not None and outcome in api.MAY_STILL_BE_RUNNING:
+            self._drop_ended_quarantines()
             quarantine = self._context.rule_limits.key_quarantine
+            self._quarantined_until.pop(request.key, None)  # moves the key to the end of the dict
             self._quarantined_until[request.key] = self._context.now + quarantine
 
+    def _drop_ended_quarantines(self) -> None:
+        """Drops the quarantines that have ended; otherwise ever new keys would take ever more memory."""
+        now = self._context.now
+        for key, _ in list(takewhile(lambda item: item[1] <= now, self._quarantined_until.items())):
+            del self._quarantined_until[key]
+
     def remove(self, request: Request) -> None:
         """Removes a closed request from its key's queue once none of its attempts is running."""
         if request.key is None or request.running_attempts:
@@ -48,6 +58,5 @@
         queue = self._queues.get(request.key, deque())
         if request in queue:
             queue.remove(request)
-        if not queue and self._quarantined_until.get(request.key, 0) <= self._context.now:
+        if not queue:
             self._queues.pop(request.key, None)
-            self._quarantined_until.pop(request.key, None)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -201,6 +201,7 @@
     def __init__(self, folder: Path) -> None:
         self.folder, self.discovery, self.endpoints = folder, StandInDiscovery(), [StandInEndpoint("s-1")]
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+        self.settings = settings()
         self.log = EventLog()
         self.clients: list[StandInClient] = []
         self.program: asyncio.subprocess.Process | None = None
@@ -230,7 +231,7 @@
             "limits": self.limits,
             "board": f"127.0.0.1:{self.discovery.port}",
             "known": self.discovery.full_state(),
-            "settings": settings(),
+            "settings": self.settings,
         }
         path = self.folder / "config.json"
         path.write_text(json.dumps(configuration | changes))
