A shutdown answers requests whose answers wait to be stored

Cause: such a request is closed for the decision module, so the deadline of the shutdown did not reach it; and its answer could not be stored, as the gateway gave up the control of the shards before its own shards had other primaries, replicas looked for a new controller only after half a lease, and new primaries learned of their role only with their next heartbeat.

Change: the commitment gate gets the shutdown's deadline; a leaving gateway gives up control and leadership last (net/fleet_shutdown.py); a missing heartbeat reply starts a lookup; new assignments are sent at once. Heartbeats have a module of their own.

--- a/benchmarks/planted_copies.py
+++ b/benchmarks/planted_copies.py
@@ -119,7 +119,7 @@
         request_claim(self, state, previous_owner, executing_since)
         state.claim = state.wanted
         if state.waiting_attempt is not None:
-            self._release_attempt(state)
+            self._actions.append(state.release_attempt())
 
     return mock.patch.object(ClaimCoordinator, "_request_claim", claim_and_release)
 
@@ -160,7 +160,7 @@
         if state is not None and state.claim is not None:
             state.newest_attempt = attempt
             state.waiting_attempt = attempt.attempt
-            self._release_attempt(state)
+            self._actions.append(state.release_attempt())
         else:
             on_attempt_requested(self, attempt)
 
--- a/lotusstream/copies/claim_events.py
+++ b/lotusstream/copies/claim_events.py
@@ -78,13 +78,26 @@
     primary: str  # the gateway to ask instead; "": the host names none
 
 
+@dataclass(frozen=True, slots=True)
+class ShutdownDeadlineSet:
+    """The gateway shuts down: answers that are not stored by the deadline are withheld."""
+
+    deadline: int  # microseconds
+
+
 @dataclass(frozen=True, slots=True)
 class ClaimTimeAdvanced:
     """Time has passed: a retry or a deadline may be due."""
 
 
 Event = (
-    AttemptRequested | AttemptCancelled | EndpointAnswered | RequestEnded | PrimaryReplied | ClaimTimeAdvanced
+    AttemptRequested
+    | AttemptCancelled
+    | EndpointAnswered
+    | RequestEnded
+    | PrimaryReplied
+    | ShutdownDeadlineSet
+    | ClaimTimeAdvanced
 )
 
 # Actions
--- a/lotusstream/copies/idempotency.py
+++ b/lotusstream/copies/idempotency.py
@@ -35,6 +35,7 @@
     RequestEnded,
     ReturnAttempt,
     SendToPrimary,
+    ShutdownDeadlineSet,
     WithholdAnswer,
 )
 from lotusstream.copies.messages import IdempotencyRecord, RecordState
@@ -42,6 +43,8 @@
 from lotusstream.copies.request_timers import RequestTimers
 from lotusstream.copies.shards import ReplicaHost
 
+NO_SHUTDOWN = 2**62  # a time in microseconds that is later than any deadline
+
 
 @dataclass(frozen=True, slots=True)
 class ClaimOptions:
@@ -89,6 +92,23 @@
             self.asked_host, self.message_number, completes, self.wanted, self.previous_owner
         )
 
+    def release_attempt(self) -> ReleaseAttempt:
+        """Return the action that sends the waiting attempt, which must exist."""
+        assert self.waiting_attempt is not None
+        action = ReleaseAttempt(self.newest_attempt.request, self.waiting_attempt)
+        self.waiting_attempt = None
+        self.phase = ClaimPhase.IDLE
+        return action
+
+    def return_attempt(self) -> list[Action]:
+        """Return the action that returns the waiting attempt; no action if none waits."""
+        if self.waiting_attempt is None:
+            return []
+        action = ReturnAttempt(self.newest_attempt.request, self.waiting_attempt)
+        self.waiting_attempt = None
+        self.phase = ClaimPhase.IDLE
+        return [action]
+
     def claims_place_of(self, attempt: AttemptRequested) -> bool:
         """Whether the committed claim names the zone and cell of this attempt."""
         return self.claim is not None and _same_place(self.claim, attempt)
@@ -111,6 +131,7 @@
         self._message_counter = 0
         self._claim_counter = 0
         self._now = 0
+        self._shutdown_deadline = NO_SHUTDOWN  # microseconds
         self._actions: list[Action] = []
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -128,6 +149,8 @@
                 self._on_request_ended(event)
             case PrimaryReplied():
                 self._on_primary_replied(event)
+            case ShutdownDeadlineSet(deadline):
+                self._on_shutdown_deadline_set(deadline)
             case ClaimTimeAdvanced():
                 self._on_time_advanced()
         return self._actions
@@ -141,12 +164,12 @@
 
     def _on_attempt_requested(self, attempt: AttemptRequested) -> None:
         state = self._states.setdefault(attempt.request, _ClaimState(attempt))
-        self._return_waiting_attempt(state)
+        self._actions += state.return_attempt()
         state.newest_attempt = attempt
         state.waiting_attempt = attempt.attempt
         previous = state.earlier_claim or state.wanted or state.claim
         if state.claims_place_of(attempt):
-            self._release_attempt(state)
+            self._actions.append(state.release_attempt())
         elif state.earlier_claim is not None and not _same_place(state.earlier_claim, attempt):
             # The reason means: another gateway may have executed the request in another zone or cell.
             self._abandon(state, "it may have run elsewhere")
@@ -158,7 +181,7 @@
     def _on_attempt_cancelled(self, event: AttemptCancelled) -> None:
         state = self._states.get(event.request)
         if state is not None and state.waiting_attempt == event.attempt:
-            self._return_waiting_attempt(state)
+            self._actions += state.return_attempt()
 
     def _on_endpoint_answered(self, event: EndpointAnswered) -> None:
         state = self._states.get(event.request)
@@ -166,7 +189,7 @@
             self._actions.append(WithholdAnswer(event.request, "its claim is not known any more"))
             return
         state.phase = ClaimPhase.COMPLETING
-        state.deadline = event.deadline
+        state.deadline = min(event.deadline, self._shutdown_deadline)
         state.previous_owner = ""
         state.wanted = msgspec.structs.replace(state.claim, state=RecordState.ANSWERED, answer=event.answer)
         self._ask(state)
@@ -177,7 +200,7 @@
         if state is None or state.phase is ClaimPhase.COMPLETING:
             return  # the answer is still stored, so that a repeat of the request gets it
         was_sent = any(attempt != state.waiting_attempt for attempt in event.unfinished_attempts)
-        self._return_waiting_attempt(state)
+        self._actions += state.return_attempt()
         newest = state.wanted or state.claim
         if event.may_have_executed or was_sent or state.executed_elsewhere or newest is None:
             self._forget(state)
@@ -188,6 +211,15 @@
         state.wanted = msgspec.structs.replace(newest, state=RecordState.NOT_EXECUTED)
         self._ask(state)
 
+    def _on_shutdown_deadline_set(self, deadline: int) -> None:
+        """Limit the time of answers that wait to be stored. Without this, the process would end before the
+        client's deadline, and with it the only chance of a reply."""
+        self._shutdown_deadline = deadline
+        for request, state in self._states.items():
+            if state.phase is ClaimPhase.COMPLETING:
+                state.deadline = min(state.deadline, deadline)
+                self._timers.arm(state.deadline, request)
+
     def _on_time_advanced(self) -> None:
         while (request := self._timers.take_due(self._now)) is not None:
             state = self._states.get(request)
@@ -196,21 +228,8 @@
 
     # Attempts
 
-    def _release_attempt(self, state: _ClaimState) -> None:
-        assert state.waiting_attempt is not None
-        state.phase = ClaimPhase.IDLE
-        self._actions.append(ReleaseAttempt(state.newest_attempt.request, state.waiting_attempt))
-        state.waiting_attempt = None
-
-    def _return_waiting_attempt(self, state: _ClaimState) -> None:
-        if state.waiting_attempt is None:
-            return
-        self._actions.append(ReturnAttempt(state.newest_attempt.request, state.waiting_attempt))
-        state.waiting_attempt = None
-        state.phase = ClaimPhase.IDLE
-
     def _abandon(self, state: _ClaimState, reason: str) -> None:
-        self._return_waiting_attempt(state)
+        self._actions += state.return_attempt()
         self._actions.append(AbandonRequest(state.newest_attempt.request, reason))
 
     def _forget(self, state: _ClaimState) -> None:
@@ -302,7 +321,7 @@
                 state.wanted = None
                 state.earlier_claim = None
                 if state.waiting_attempt is not None:
-                    self._release_attempt(state)
+                    self._actions.append(state.release_attempt())
                 state.phase = ClaimPhase.IDLE
             case ClaimPhase.COMPLETING:
                 assert state.wanted is not None
@@ -332,7 +351,7 @@
 
     def _end_with(self, state: _ClaimState, action: DeliverAnswer | WithholdAnswer) -> None:
         """End the request; its waiting attempt is not sent."""
-        self._return_waiting_attempt(state)
+        self._actions += state.return_attempt()
         self._actions.append(action)
         self._forget(state)
 
@@ -343,7 +362,7 @@
         request = state.newest_attempt.request
         report = ReportEarlierExecution(request, record.zone, record.cell, record.executing_since)
         self._actions.append(report)
-        self._return_waiting_attempt(state)
+        self._actions += state.return_attempt()
 
 
 def _new_claim(attempt: AttemptRequested, owner: str, executing_since: int) -> IdempotencyRecord:
--- a/lotusstream/copies/replica.py
+++ b/lotusstream/copies/replica.py
@@ -163,6 +163,11 @@
         """Whether a planned stop has begun."""
         return self._context.shutting_down
 
+    @property
+    def is_primary_of_any(self) -> bool:
+        """Whether this run of the program is the primary of a shard, by the newest assignments known here."""
+        return any(self._context.is_primary(shard) for shard in self.shards.values())
+
     @property
     def has_lease(self) -> bool:
         """Whether this gateway has a lease, so that it may commit as primary."""
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -317,19 +317,12 @@
     ) -> ReceivedRequest:
         statement = message.body.decode()
         self._limiter.mark_busy(self)
-        group = await self._table_group(statement, fields)
+        profile = self._deployment.started.profiles[fields.profile]
+        group = await self._statement_search.table_group(statement, profile.ordered_by_key)
         if group is None:
             raise front.RequestFormatError("the statement names no group of tables")
-        tenant = None
-        if self._tenant_of is not None:
-            tenant = self._tenant_of(message.fields, fields.idempotency_key, statement)
+        find_tenant = self._tenant_of
+        tenant = find_tenant(message.fields, fields.idempotency_key, statement) if find_tenant else None
         sent_at = min(arrived_at, self._clock.earliest_arrival())
         deadline = sent_at + fields.time_left
         return ReceivedRequest(self, message.seqid, fields, group, message.body, deadline, sent_at, tenant)
-
-    async def _table_group(self, statement: str, fields: front.RequestFields) -> int | None:
-        """Returns the table group of the statement; None if it names none. Requests of ordered profiles get
-        theirs in the order of their arrival. Raises TooManySearchesError."""
-        if self._deployment.started.profiles[fields.profile].ordered_by_key:
-            return await self._statement_search.table_group_in_order(statement)
-        return await self._statement_search.table_group(statement)
--- a/lotusstream/net/commitment_gate.py
+++ b/lotusstream/net/commitment_gate.py
@@ -54,7 +54,7 @@
     time_limit: int  # the client timeout, microseconds
 
 
-GateMessage = AttemptReady | AttemptControl | AnswerReceived | RequestClosed
+GateMessage = AttemptReady | AttemptControl | AnswerReceived | RequestClosed | api.ShutdownStarted
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/commitments.py
+++ b/lotusstream/net/commitments.py
@@ -27,6 +27,7 @@
     RequestEnded,
     ReturnAttempt,
     SendToPrimary,
+    ShutdownDeadlineSet,
     WithholdAnswer,
 )
 from lotusstream.copies.idempotency import ClaimCoordinator, ClaimOptions
@@ -55,6 +56,8 @@
 CLAIM_TIME_DIVISOR = 4
 RETRY_PAUSE_DIVISOR = 8  # a request that a primary refused is repeated after 1/8 of the reply timeout
 RESERVED_TIME_DIVISOR = 50  # 1/50 of the client timeout is reserved for sending the answer
+# Reserved before the deadline of a shutdown for the replies to requests whose answers could not be stored.
+SHUTDOWN_RESERVE_US = 100_000
 DIGEST_BYTES = 16  # length of a request's digest
 # In place of a zone's index: the zone is unknown. In place of a cell's: deduplication is not per cell.
 UNKNOWN_INDEX = -1
@@ -134,6 +137,8 @@
                 self._handle(RequestEnded(request, may_have_run, in_flight, deadline))
             case wire.CommitmentReply(number, outcome, record, reason, primary):
                 self._handle(PrimaryReplied(number, outcome, record, reason, primary))
+            case api.ShutdownStarted(deadline):
+                self._handle(ShutdownDeadlineSet(deadline - SHUTDOWN_RESERVE_US))
             case _ClaimTimerFired():
                 self._handle(ClaimTimeAdvanced())
 
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -187,6 +187,7 @@
                 self._on_endpoint_list_update(message)
             case api.ShutdownStarted():
                 self._shutdown_event = message
+                self._lifecycle.on_shutdown_started(message)
                 return message
             case SubsystemEvent(event):
                 return cast("api.Event", event)
--- a/lotusstream/net/fleet.py
+++ b/lotusstream/net/fleet.py
@@ -15,6 +15,7 @@
 from lotusstream.net.clock import Clock
 from lotusstream.net.decider import Decider
 from lotusstream.net.fleet_control import FleetControl
+from lotusstream.net.fleet_shutdown import leave_fleet
 from lotusstream.net.lease_holder import LeaseHolderActor
 from lotusstream.net.peers import FrameHandler, PeerLimits, PeerLink, PeerServer, ReplyCallback
 from lotusstream.net.quorum_client import QuorumClient, quorum_event
@@ -95,13 +96,8 @@
 
     def begin_shutdown(self) -> None:
         """Starts a graceful shutdown, and returns without waiting for its end."""
-        # Other gateways are to take over the replicas, the leases and the leadership of the quorum.
-        if self.replication is not None:
-            self.replication.begin_shutdown()
-        for task in self.lease_holder.tasks:
-            self.lease_holder.post(lease_holder.LeaseUnwanted(task))
-        if self.raft_actor is not None:
-            self.raft_actor.post(raft_events.ShutdownRequested())
+        leave = leave_fleet(self.replication, self.lease_holder, self.raft_actor)
+        self._supervisor.start("leave", leave)
 
     async def stop(self) -> None:
         """Stops all components."""
--- a/lotusstream/net/replication.py
+++ b/lotusstream/net/replication.py
@@ -35,14 +35,13 @@
 from lotusstream.net import clock
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.connection import US_PER_S
+from lotusstream.net.replica_heartbeats import HeartbeatSender
 from lotusstream.net.replica_store import ReplicaStore
 from lotusstream.net.shard_control import ReadQuorumView, SendFrame
 from lotusstream.protocol import peers as wire
 from lotusstream.wal.errors import DiskError
 
-HEARTBEATS_PER_LEASE = 8  # heartbeats that a replica sends per lease duration
 MIN_TIMER_DELAY_US = 1000
-SHARD_CONTROL_LEASE = "copies"  # name of the lease of the gateway that runs the shard controller
 
 SendReply = Callable[[wire.PeerFrame], None]
 
@@ -62,28 +61,6 @@
     frame: wire.ReplicaHeartbeatReply
 
 
-class _SentHeartbeats:
-    """The send times (microseconds) of the heartbeats that are younger than a lease duration."""
-
-    def __init__(self, lease_us: int) -> None:
-        self._lease_us = lease_us
-        self._newest_number = 0
-        self._sent_at: dict[int, int] = {}  # send time by heartbeat number
-
-    def add(self, now: int) -> int:
-        """Record a heartbeat that is sent now, and return its number."""
-        self._newest_number += 1
-        self._sent_at = {
-            number: sent_at for number, sent_at in self._sent_at.items() if now - sent_at < self._lease_us
-        }
-        self._sent_at[self._newest_number] = now
-        return self._newest_number
-
-    def sent_at(self, number: int) -> int | None:
-        """Return when a heartbeat was sent; None: longer ago than a lease duration, or never."""
-        return self._sent_at.get(number)
-
-
 class ReplicationActor(Actor[Any]):
     """Drives a `ReplicaSet`. After a disk failure it ignores all messages until the gateway is restarted."""
 
@@ -102,7 +79,6 @@
         super().__init__("copies", supervisor)
         self._options = options
         self._send_frame = send_frame
-        self._read_view = read_view
         self._store = ReplicaStore(folder, name)
         if self._store.damage:
             supervisor.log.write(
@@ -121,9 +97,10 @@
         self._failure = ""  # text of the disk failure that has stopped replication; "": none
         self._requests: dict[int, _RequestReceived] = {}  # unanswered requests by ticket
         self._newest_ticket = 0
-        self._sent_heartbeats = _SentHeartbeats(options.leases.duration_us)
-        self._answered_at = 0  # time of the last heartbeat reply, microseconds of the boot clock
-        self.controller = ""  # name of the gateway that runs the shard controller; "": not known
+        self._heartbeats = HeartbeatSender(
+            options.leases.duration_us, self._heartbeat, send_frame, read_view, supervisor
+        )
+        self._handed_over = asyncio.Event()  # set once this host is shutting down and no primary any more
         self.primaries: dict[int, ReplicaId] = {}  # primary of each shard, from the newest heartbeat reply
 
     # Life cycle
@@ -131,13 +108,18 @@
     def start(self) -> None:
         """Start processing messages and sending heartbeats."""
         super().start()
-        self.supervisor.start_restarting("heartbeats", self._send_heartbeats)
+        self.supervisor.start_restarting("heartbeats", lambda: self._heartbeats.run(self._advance_time))
         if self._options.anti_entropy_interval:
             self.supervisor.start_restarting("scrub", self._check_log)
 
     def begin_shutdown(self) -> None:
         """Begin a planned stop, so that backups become primaries at once and not after this lease expires."""
         self.post(ShutdownStarted())
+        self._heartbeats.begin_shutdown()
+
+    async def wait_until_handed_over(self) -> None:
+        """Wait until this host is the primary of no shard. `begin_shutdown` must be called first."""
+        await self._handed_over.wait()
 
     async def stop(self) -> None:
         """Stop the actor and close the log."""
@@ -148,23 +130,11 @@
 
     # Heartbeats
 
-    async def _send_heartbeats(self) -> None:
-        """Send heartbeats. After half a lease duration without a reply, look up the controller's gateway."""
-        lease_us = self._options.leases.duration_us
-        while True:
-            if clock.boot_clock() - self._answered_at > lease_us // 2:
-                view = await self._read_view()
-                leases = {row["task"]: row["holder"] for row in (view or {}).get("leases", [])}
-                self.controller = leases.get(SHARD_CONTROL_LEASE, "")
-            self._send_heartbeat()
-            self.post(ReplicaTimeAdvanced(_unix_time_us()))
-            await asyncio.sleep(lease_us / US_PER_S / HEARTBEATS_PER_LEASE)
-
-    def _send_heartbeat(self) -> None:
-        if not self.controller or self._failure:
-            return
-        number = self._sent_heartbeats.add(clock.boot_clock())
-        heartbeat = wire.ReplicaHeartbeat(
+    def _heartbeat(self, number: int) -> wire.ReplicaHeartbeat | None:
+        """Return the heartbeat with this number; None after a disk failure."""
+        if self._failure:
+            return None
+        return wire.ReplicaHeartbeat(
             number,
             self.host,
             self.replicas.session,
@@ -172,7 +142,9 @@
             self.replicas.shutting_down,
             self.replicas.more_advanced_replicas(),
         )
-        self._send_frame(self.controller, heartbeat)
+
+    def _advance_time(self) -> None:
+        self.post(ReplicaTimeAdvanced(_unix_time_us()))
 
     # Messages
 
@@ -198,7 +170,8 @@
                 self._on_heartbeat_reply(frame)
             case ShutdownStarted():
                 self._handle(message)
-                self._send_heartbeat()
+                self._note_handover()
+                self._heartbeats.send()
             case _:
                 self._handle(message)
 
@@ -215,11 +188,15 @@
     def _on_heartbeat_reply(self, reply: wire.ReplicaHeartbeatReply) -> None:
         for assignment in reply.assignments:
             self._handle(AssignmentLearned(assignment))
-        sent_at = self._sent_heartbeats.sent_at(reply.number)
+        sent_at = self._heartbeats.record_reply(reply.number)
         if sent_at is not None:
-            self._answered_at = clock.boot_clock()
             self.primaries = dict(reply.primaries)
             self._handle(LeaseRenewed(sent_at, reply.epochs))
+        self._note_handover()
+
+    def _note_handover(self) -> None:
+        if self.replicas.shutting_down and not self.replicas.is_primary_of_any:
+            self._handed_over.set()
 
     def _handle(self, event: replica_events.Event) -> None:
         for action in self.replicas.handle(clock.boot_clock(), event):
@@ -328,7 +305,7 @@
             "disk": self.host.replica_id.disk,
             "machine": self.host.machine,
             "zone": self.host.zone,
-            "manager": self.controller,
+            "manager": self._heartbeats.controller,
             "leased": self.replicas.has_lease,
             "trouble": self._failure,
             "size": self.replicas.size_bytes,
--- a/lotusstream/net/request_lifecycle.py
+++ b/lotusstream/net/request_lifecycle.py
@@ -63,6 +63,11 @@
             return self.gate
         return None
 
+    def on_shutdown_started(self, event: api.ShutdownStarted) -> None:
+        """Passes the deadline of a shutdown to the commitment gate, which retains answers."""
+        if self.gate is not None:
+            self.gate.post(event)
+
     def on_request_abandoned(self, received: ReceivedRequest) -> api.Event | None:
         """Closes a request whose client has disconnected or withdrawn it."""
         request = self._requests.find(received)
--- a/lotusstream/net/shard_control.py
+++ b/lotusstream/net/shard_control.py
@@ -36,6 +36,7 @@
 ASSIGNMENT_KEY_PREFIX = "shard/"
 DRAINED_MACHINES_KEY = "drained"  # key of the note with the drained machines
 START_RETRIES_PER_LEASE = 8  # attempts per lease duration to read the quorum's view before control begins
+UNSOLICITED = 0  # number of a heartbeat reply that answers no heartbeat, so that it grants no lease
 TICKS_PER_LEASE = 20  # `ControllerTimeAdvanced` events per lease duration
 _ASSIGNMENT_DECODER: msgspec.json.Decoder[ShardAssignment] = msgspec.json.Decoder(ShardAssignment)
 
@@ -196,6 +197,7 @@
             return
         if not reason:
             self._log_agreed(assignment)
+            self._announce(assignment)
             self.post(AssignmentAgreed(assignment))
             return
         view = await self._read_view()
@@ -203,6 +205,15 @@
         current = _ASSIGNMENT_DECODER.decode(note["value"]) if note else None
         self.post(AssignmentRejected(assignment.shard, current))
 
+    def _announce(self, assignment: ShardAssignment) -> None:
+        """Send an assignment to its replicas and to those that it replaces. With their next heartbeats they
+        would learn of it only after a good part of a lease, in which the shard would have no primary."""
+        previous = self._controller.assignments.get(assignment.shard) if self._controller else None
+        members = {*assignment.members, *(previous.members if previous is not None else ())}
+        for replica_id in sorted(members):
+            message = wire.ReplicaHeartbeatReply(UNSOLICITED, (assignment,), {}, {})
+            self._send_frame(replica_id.name, message)
+
     def _log_agreed(self, assignment: ShardAssignment) -> None:
         shard, epoch = assignment.shard, assignment.epoch
         text = f"shard {shard}, epoch {epoch}: primary {assignment.primary.name}"
--- a/lotusstream/net/statement_search.py
+++ b/lotusstream/net/statement_search.py
@@ -26,18 +26,23 @@
     def __init__(self) -> None:
         self._turn = asyncio.Lock()  # held during a slice and the rest of its iteration
         self._long_search_count = 0
-        # The calls of `table_group_in_order` that have not returned, earliest first. An event is set once all
+        # The calls with `in_order` that have not returned, earliest first. An event is set once all
         # earlier calls have returned.
         self._ordered_calls: deque[asyncio.Event] = deque()
 
-    async def table_group_in_order(self, statement: str) -> int | None:
-        """As `table_group`, but returns only after all earlier calls of this method have returned. Otherwise
-        a request with a short statement would overtake an earlier one with a long statement."""
+    async def table_group(self, statement: str, in_order: bool = False) -> int | None:
+        """Returns the table group of a statement; None if it names none. Raises TooManySearchesError.
+
+        :param in_order: return only after all earlier calls with `in_order` have returned. Otherwise a
+            request with a short statement would overtake an earlier one with a long statement.
+        """
+        if not in_order:
+            return await self._search(statement)
         is_first = asyncio.Event()
         self._ordered_calls.append(is_first)
         self._wake_first_ordered_call()
         try:
-            group = await self.table_group(statement)
+            group = await self._search(statement)
             await is_first.wait()
             return group
         finally:
@@ -48,8 +53,7 @@
         if self._ordered_calls:
             self._ordered_calls[0].set()
 
-    async def table_group(self, statement: str) -> int | None:
-        """Returns the table group of a statement; None if it names none. Raises TooManySearchesError."""
+    async def _search(self, statement: str) -> int | None:
         search = TableGroupSearch(statement)
         if search.advance(FIRST_SLICE_COST):
             return search.group
--- a/tests/net/test_key_order.py
+++ b/tests/net/test_key_order.py
@@ -97,7 +97,7 @@
     search, ended = StatementSearch(), list[int]()
 
     async def run(group: int, statement: str) -> None:
-        assert await search.table_group_in_order(statement) == group
+        assert await search.table_group(statement, in_order=True) == group
         ended.append(group)
 
     words = long_statement("a ", LONG_CHARACTERS)
