Unusable messages of many clients do not keep others from their answers

Cause: skipping the fields took 0.15 s in one go on the event loop, and a client that sends unusable messages without a pause was served as often as any other.

Change: a message has 512 values at most. The time of a request that was left unread, for this or for lack of memory, counts from the beginning of the wait. ReceivedRequest and RequestReader have modules of their own.

--- a/lotusstream/lab/scale/planted.py
+++ b/lotusstream/lab/scale/planted.py
@@ -21,6 +21,7 @@
 from lotusstream.net.client_memory import ClientMemory
 from lotusstream.net.connection import Connection
 from lotusstream.net.discovery import DiscoveryActor, Poll
+from lotusstream.net.received_request import ReceivedRequest
 from lotusstream.net.running_attempt import RunningAttempt
 from lotusstream.policy.placement import PlacementPolicy
 from lotusstream.policy.retries import RetryPolicy
@@ -75,10 +76,10 @@
 def ignored_departure() -> None:
     """Starts attempts of requests that the client has given up, and does not cancel running ones."""
 
-    def is_awaited(self: client.ReceivedRequest) -> bool:
+    def is_awaited(self: ReceivedRequest) -> bool:
         return True
 
-    client.ReceivedRequest.is_awaited = is_awaited  # type: ignore[method-assign]
+    ReceivedRequest.is_awaited = is_awaited  # type: ignore[method-assign]
     client.ClientConnection._abandon = lambda self, request: None  # type: ignore[method-assign]
 
 
--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from thrift.Thrift import TApplicationException
 
@@ -18,50 +18,13 @@
 from lotusstream.net.client_receiver import ClientReceiver
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import has_readable_bytes
+from lotusstream.net.message_pause import MessagePause
+from lotusstream.net.received_request import ReceivedRequest, RequestAbandoned
+from lotusstream.net.request_reader import RequestReader, TenantLookup
 from lotusstream.net.statement_search import StatementSearch, TooManySearchesError
 from lotusstream.protocol import front
 
 
-@dataclass(slots=True, eq=False)
-class ReceivedRequest:
-    """A request whose message was received completely. It is closed once it is answered or its client stops
-    waiting. Times are in microseconds."""
-
-    client: ClientConnection
-    seqid: int  # sequence number of the client's message
-    fields: front.RequestFields
-    group: int  # table group of the statement
-    statement: bytes  # UTF-8; emptied once the request is closed
-    deadline: int  # when the client stops waiting for the answer
-    # Earliest time at which it can have arrived: it may have waited unread while the event loop was busy.
-    sent_at: int
-    tenant: str | None = None  # None: the request belongs to no tenant
-    closed: bool = False  # whether it was answered or its client has stopped waiting
-    statement_bytes: int = field(init=False)  # length of the statement that it had when it was received
-
-    def __post_init__(self) -> None:
-        self.statement_bytes = len(self.statement)
-
-    def is_awaited(self) -> bool:
-        """Whether the client still waits for the answer. Also False if the client has closed its connection
-        and the close was not read yet."""
-        return not self.closed and not self.client.has_disconnected()
-
-
-@dataclass(frozen=True, slots=True)
-class RequestAbandoned:
-    """The client has disconnected or has withdrawn this request."""
-
-    request: ReceivedRequest
-
-
-@dataclass(frozen=True, slots=True)
-class RequestOverdue:
-    """The deadline of this request has passed without a reply."""
-
-    request: ReceivedRequest
-
-
 @dataclass(frozen=True, slots=True)
 class ClientReply:
     """A frame to write to the client."""
@@ -70,9 +33,6 @@
     request: ReceivedRequest | None = None  # the request that this reply closes; None: it closes none
 
 
-TenantLookup = Callable[[dict[str, str], str | None, str], str | None]
-"""Returns the tenant of a request, given its fields, idempotency key and statement; None: no tenant."""
-
 ReportClientEvent = Callable[[ReceivedRequest | RequestAbandoned], None]
 
 
@@ -98,17 +58,16 @@
         super().__init__("client", supervisor)
         self.open_requests: dict[int, ReceivedRequest] = {}  # by sequence number
         self._sock = sock
-        self._deployment = deployment
         self._clock = clock
         self._report = report
         self._is_healthy = is_healthy
         self._account = memory.open_account(sock)
-        self._receiver = ClientReceiver(sock, self._account)
+        self._receiver = ClientReceiver(sock, self._account, clock)
         self._limiter = limiter
-        self._statement_search = statement_search
-        self._tenant_of = tenant_of
+        self._request_reader = RequestReader(deployment, clock, statement_search, tenant_of)
         self._is_closing = False  # True: no further reply is queued, and bytes that arrive are dropped
         self._is_writing = False
+        self._message_pause = MessagePause()
         self._is_handling = False  # whether a message is being handled, which may take several iterations
 
     @property
@@ -189,11 +148,11 @@
         while count := await self._receiver.receive():
             # Bytes that arrive after the half-close are dropped: the client resends the request elsewhere.
             if not self._is_closing:
-                arrived_at = self._clock.now()
-                self._receiver.keep(count)
+                arrived_at = self._receiver.keep(count)
                 has_message = await self._handle_frames(arrived_at)
                 self._receiver.track_partial_message(has_message, arrived_at)
-            await asyncio.sleep(0)  # keeps a client that sends without pause from starving other connections
+            # Keeps a client that sends without pause from starving other connections.
+            await self._receiver.pause(self._message_pause.seconds(bool(self.open_requests)))
 
     async def _handle_frames(self, arrived_at: int) -> bool:
         """Handles all complete frames. Returns whether there was at least one."""
@@ -251,6 +210,7 @@
         try:
             message = front.decode(frame)
         except front.MessageFormatError as error:
+            self._message_pause.count_unusable()
             self.supervisor.counters.add("messages unusable")
             self.supervisor.log.write("client", str(error))
             if error.fault is not None:
@@ -285,44 +245,19 @@
         if message.seqid in self.open_requests:
             raise front.FrameError(f"sequence number {message.seqid} belongs to a request that is still open")
         try:
-            request = await self._read_request(message, arrived_at)
+            self._limiter.mark_busy(self)
+            request = await self._request_reader.read(self, self._account, message, arrived_at)
         except (TooManySearchesError, MemoryBudgetError):
             self.supervisor.counters.add("commands past the limits")
             self.post(ClientReply(front.encode_rejection(message.seqid, 0)))
             return
         except (front.RequestFormatError, UnicodeDecodeError) as error:
+            self._message_pause.count_unusable()
             self.supervisor.counters.add("commands unusable")
             self.supervisor.log.write("client", f"invalid request: {error}")
             kind = TApplicationException.PROTOCOL_ERROR
             self.post(ClientReply(front.encode_fault("process", message.seqid, kind, str(error))))
             return
+        self._message_pause.count_valid()
         self.open_requests[message.seqid] = request
         self._report(request)
-
-    async def _read_request(self, message: front.ProcessRequest, arrived_at: int) -> ReceivedRequest:
-        """Validates a request message. Raises RequestFormatError, UnicodeDecodeError, TooManySearchesError or
-        MemoryBudgetError."""
-        if len(self.open_requests) >= front.MAX_OPEN_REQUEST_COUNT:
-            raise front.RequestFormatError("too many open")
-        fields = front.parse_request_fields(message.fields, self._deployment)
-        self._account.reserve(MemoryUse.STATEMENTS, len(message.body))
-        try:
-            return await self._make_request(message, fields, arrived_at)
-        except BaseException:
-            self._account.release(MemoryUse.STATEMENTS, len(message.body))
-            raise
-
-    async def _make_request(
-        self, message: front.ProcessRequest, fields: front.RequestFields, arrived_at: int
-    ) -> ReceivedRequest:
-        statement = message.body.decode()
-        self._limiter.mark_busy(self)
-        profile = self._deployment.started.profiles[fields.profile]
-        group = await self._statement_search.table_group(statement, profile.ordered_by_key)
-        if group is None:
-            raise front.RequestFormatError("the statement names no group of tables")
-        find_tenant = self._tenant_of
-        tenant = find_tenant(message.fields, fields.idempotency_key, statement) if find_tenant else None
-        sent_at = min(arrived_at, self._clock.earliest_arrival())
-        deadline = sent_at + fields.time_left
-        return ReceivedRequest(self, message.seqid, fields, group, message.body, deadline, sent_at, tenant)
--- a/lotusstream/net/client_receiver.py
+++ b/lotusstream/net/client_receiver.py
@@ -7,6 +7,7 @@
 
 from lotusstream.net.buffer import Buffer
 from lotusstream.net.client_memory import ClientAccount, MemoryBudgetError, MemoryUse
+from lotusstream.net.clock import Clock
 from lotusstream.protocol import front
 
 INITIAL_BUFFER_BYTES = 4096
@@ -20,13 +21,16 @@
     Closing the connection instead would make clients connect again at once, which costs more processor time.
     """
 
-    def __init__(self, sock: socket.socket, account: ClientAccount) -> None:
+    def __init__(self, sock: socket.socket, account: ClientAccount, clock: Clock) -> None:
         self.is_waiting = False  # whether it reads nothing because there is no memory
         self.is_stopped = False  # True: nothing more is read
         # When the first bytes of an incomplete message arrived, microseconds; None: there is none.
         self.partial_since: int | None = None
         self._sock = sock
         self._account = account
+        self._clock = clock
+        # Since when received bytes may have been left unread on purpose, microseconds; None: they were not.
+        self._unread_since: int | None = None
         self._buffer = Buffer(INITIAL_BUFFER_BYTES, front.FRAME.size + front.MAX_FRAME_BYTES)
 
     async def receive(self) -> int:
@@ -50,14 +54,30 @@
                 return True
             except MemoryBudgetError:
                 self.is_waiting = True
+                self._note_unread()
                 await asyncio.sleep(MEMORY_RETRY_S)
             finally:
                 self.is_waiting = False
         return False
 
-    def keep(self, count: int) -> None:
-        """Keeps the first `count` bytes that were received last."""
+    async def pause(self, seconds: float) -> None:
+        """Reads nothing for some time; 0: until the next iteration of the event loop."""
+        if seconds:
+            self._note_unread()
+        await asyncio.sleep(seconds)
+
+    def _note_unread(self) -> None:
+        if self._unread_since is None:
+            self._unread_since = self._clock.now()
+
+    def keep(self, count: int) -> int:
+        """Keeps the first `count` bytes that were received last. Returns the earliest time at which they can
+        have arrived, microseconds, apart from delays of the event loop. With a later time, a request that was
+        left unread would be answered after its client has stopped waiting."""
         self._buffer.filled(count)
+        arrived_at = self._clock.now() if self._unread_since is None else self._unread_since
+        self._unread_since = None
+        return arrived_at
 
     def next_frame(self) -> bytes | None:
         """Consumes and returns the next complete frame; None if it is incomplete. Raises FrameError."""
--- a/lotusstream/net/commitment_gate.py
+++ b/lotusstream/net/commitment_gate.py
@@ -12,8 +12,8 @@
 
 from lotusstream import interface as api
 from lotusstream.net.attempt_messages import AbortAttempt, ChangePriority, RunAttempt
-from lotusstream.net.client import ReceivedRequest
 from lotusstream.net.endpoint import EndpointActor
+from lotusstream.net.received_request import ReceivedRequest
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusstream/net/decider.py
+++ b/lotusstream/net/decider.py
@@ -14,7 +14,6 @@
 from lotusstream.net.attempt_dispatcher import AttemptDispatcher
 from lotusstream.net.attempt_messages import AttemptFinished
 from lotusstream.net.batch_limiter import BatchLimiter
-from lotusstream.net.client import ReceivedRequest, RequestAbandoned, RequestOverdue
 from lotusstream.net.clock import Clock
 from lotusstream.net.commitment_gate import AnswerReady, CommitmentGate
 from lotusstream.net.connection import US_PER_S, Address, SocketBudget
@@ -33,6 +32,7 @@
 from lotusstream.net.endpoint_registry import EndpointRegistry
 from lotusstream.net.open_requests import OpenRequestTable
 from lotusstream.net.operator_view import operator_view
+from lotusstream.net.received_request import ReceivedRequest, RequestAbandoned, RequestOverdue
 from lotusstream.net.request_lifecycle import RequestLifecycle
 from lotusstream.net.request_replies import RequestReplies
 from lotusstream.protocol import discovery
--- a/lotusstream/net/decider_mailbox.py
+++ b/lotusstream/net/decider_mailbox.py
@@ -5,8 +5,8 @@
 from collections import deque
 
 from lotusstream.net.actor import Mailbox
-from lotusstream.net.client import ReceivedRequest
 from lotusstream.net.decider_messages import DeciderMessage
+from lotusstream.net.received_request import ReceivedRequest
 
 
 class DeciderMailbox(Mailbox[DeciderMessage]):
--- a/lotusstream/net/decider_messages.py
+++ b/lotusstream/net/decider_messages.py
@@ -8,8 +8,8 @@
 
 from lotusstream import interface as api
 from lotusstream.net.attempt_messages import AttemptFinished
-from lotusstream.net.client import ReceivedRequest, RequestAbandoned, RequestOverdue
 from lotusstream.net.commitment_gate import AnswerReady
+from lotusstream.net.received_request import ReceivedRequest, RequestAbandoned, RequestOverdue
 from lotusstream.protocol import discovery
 
 
--- a/lotusstream/net/open_requests.py
+++ b/lotusstream/net/open_requests.py
@@ -10,9 +10,9 @@
 from dataclasses import dataclass, field
 
 from lotusstream.interface import Outcome
-from lotusstream.net.client import ReceivedRequest
 from lotusstream.net.commitment_gate import CommitmentGate
 from lotusstream.net.endpoint import EndpointActor
+from lotusstream.net.received_request import ReceivedRequest
 
 
 @dataclass(slots=True, eq=False)
--- a/lotusstream/net/request_lifecycle.py
+++ b/lotusstream/net/request_lifecycle.py
@@ -8,9 +8,10 @@
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.attempt_dispatcher import AttemptDispatcher
 from lotusstream.net.attempt_messages import AttemptFinished
-from lotusstream.net.client import ClientReply, ReceivedRequest
+from lotusstream.net.client import ClientReply
 from lotusstream.net.commitment_gate import AnswerReady, AnswerReceived, CommitmentGate
 from lotusstream.net.open_requests import OpenRequest, OpenRequestTable
+from lotusstream.net.received_request import ReceivedRequest
 from lotusstream.net.request_replies import NOT_ANSWERED, RequestReplies
 from lotusstream.protocol import front
 
--- a/lotusstream/net/subsystems.py
+++ b/lotusstream/net/subsystems.py
@@ -11,12 +11,12 @@
 from typing import TYPE_CHECKING
 
 from lotusstream.net.actor import Supervisor
-from lotusstream.net.client import TenantLookup
 from lotusstream.net.clock import Clock
 from lotusstream.net.configuration import Configuration, ConfigurationError
 from lotusstream.net.decider import Decider
 from lotusstream.net.decider_messages import SubsystemEvent
 from lotusstream.net.decision_module import DecisionModule
+from lotusstream.net.request_reader import TenantLookup
 from lotusstream.operator.file import OperatorFile, changes_requiring_restart
 from lotusstream.operator.problems import OperatorFileError
 
--- a/lotusstream/protocol/front.py
+++ b/lotusstream/protocol/front.py
@@ -19,6 +19,9 @@
 FRAME = struct.Struct("!i")  # the frame header: the length in bytes of the message that follows
 MAX_FRAME_BYTES = 256 << 10
 MAX_FIELD_COUNT = 256  # most entries of a map in a message
+# Most fields, elements and map entries in a message, all together. Decoding one takes a few microseconds, and
+# the event loop serves no other client meanwhile.
+MAX_VALUE_COUNT = 512
 MAX_OPEN_REQUEST_COUNT = 32  # most open requests on one connection
 MS = 1000  # microseconds in a millisecond
 CLIENT_IDLE_TIMEOUT_US = 4000 * MS  # idle time after which clients close a connection
@@ -114,13 +117,51 @@
 }
 
 
+class _BoundedReader(TBinaryProtocol):  # type: ignore[misc]
+    """Reads a message of at most MAX_VALUE_COUNT values. Skipped fields and their contents count as well."""
+
+    def __init__(self, frame: bytes) -> None:
+        super().__init__(
+            TMemoryBuffer(frame),
+            strictRead=True,
+            string_length_limit=len(frame),
+            container_length_limit=MAX_FIELD_COUNT,
+        )
+        self._value_count = 0
+
+    def _count_values(self, count: int) -> None:
+        self._value_count += count
+        if self._value_count > MAX_VALUE_COUNT:
+            limit = f"a message of more than {MAX_VALUE_COUNT} values"
+            raise TProtocolException(TProtocolException.SIZE_LIMIT, limit)
+
+    def readFieldBegin(self) -> tuple[str | None, int, int]:  # noqa: N802 - Thrift's name
+        """Reads the head of a field."""
+        self._count_values(1)
+        head: tuple[str | None, int, int] = super().readFieldBegin()
+        return head
+
+    def readMapBegin(self) -> tuple[int, int, int]:  # noqa: N802 - Thrift's name
+        """Reads the head of a map."""
+        head: tuple[int, int, int] = super().readMapBegin()
+        self._count_values(head[2])
+        return head
+
+    def readListBegin(self) -> tuple[int, int]:  # noqa: N802 - Thrift's name
+        """Reads the head of a list."""
+        head: tuple[int, int] = super().readListBegin()
+        self._count_values(head[1])
+        return head
+
+    def readSetBegin(self) -> tuple[int, int]:  # noqa: N802 - Thrift's name
+        """Reads the head of a set."""
+        head: tuple[int, int] = super().readSetBegin()
+        self._count_values(head[1])
+        return head
+
+
 def _reader(frame: bytes) -> TBinaryProtocol:
-    return TBinaryProtocol(
-        TMemoryBuffer(frame),
-        strictRead=True,
-        string_length_limit=len(frame),
-        container_length_limit=MAX_FIELD_COUNT,
-    )
+    return _BoundedReader(frame)
 
 
 def _read_struct(
--- a/tests/net/test_rare_moments.py
+++ b/tests/net/test_rare_moments.py
@@ -36,7 +36,7 @@
 from lotusstream.deployment import read_settings
 from lotusstream.net.actor import Supervisor
 from lotusstream.net.attempt_messages import AbortAttempt, RunAttempt
-from lotusstream.net.client import ClientConnection, ClientReply, ReceivedRequest, RequestAbandoned
+from lotusstream.net.client import ClientConnection, ClientReply
 from lotusstream.net.client_limits import ClientConnectionLimiter
 from lotusstream.net.client_memory import ClientMemory
 from lotusstream.net.clock import Clock
@@ -46,6 +46,7 @@
 from lotusstream.net.discovery import DiscoveryActor
 from lotusstream.net.endpoint import EndpointActor, EndpointListingChanged
 from lotusstream.net.gateway import GatewayServer
+from lotusstream.net.received_request import ReceivedRequest, RequestAbandoned
 from lotusstream.net.statement_search import StatementSearch
 from lotusstream.protocol import discovery, front, http
 
--- a/tests/net/test_time_waited.py
+++ b/tests/net/test_time_waited.py
@@ -12,8 +12,8 @@
 from test_rare_moments import configuration, wait_until
 
 from lotusstream.lab.stand_ins import StandInClient
-from lotusstream.net.client import ReceivedRequest
 from lotusstream.net.gateway import GatewayServer
+from lotusstream.net.received_request import ReceivedRequest
 
 LOOP_STALL_S = 0.2  # how long the event loop is blocked
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -29,13 +29,14 @@
 from lotusstream.net.actor import Actor, Supervisor
 from lotusstream.net.attempt_messages import AbortAttempt, AttemptFinished, ChangePriority, RunAttempt
 from lotusstream.net.buffer import Buffer, BufferFullError
-from lotusstream.net.client import ClientConnection, ClientReply, ReceivedRequest, RequestAbandoned
+from lotusstream.net.client import ClientConnection, ClientReply
 from lotusstream.net.client_limits import ClientConnectionLimiter
 from lotusstream.net.client_memory import ClientMemory
 from lotusstream.net.clock import Clock
 from lotusstream.net.connection import Connection, ConnectionPool, NoDescriptorError, SocketBudget
 from lotusstream.net.decider import Decider
 from lotusstream.net.endpoint import EndpointActor, EndpointListingChanged
+from lotusstream.net.received_request import ReceivedRequest, RequestAbandoned
 from lotusstream.net.statement_search import StatementSearch
 from lotusstream.policy import Gateway
 from lotusstream.protocol import front
