Table groups that clients name take a limited amount of memory

Seen: one client with ever new tables; memory grew evenly, 16 to 19 MB in 6 s (trial).

Cause: requests are counted and affinity sets kept for each table group, for two epochs of 16 latency objectives. A refresh takes time in proportion to the counts.

Change: 4,096 groups are counted (Misra and Gries), 4,096 sets kept, and a refresh makes 16,384 draws at most. With up to 1,024 groups decisions are as before.

--- a/lotusstream/policy/affinity.py
+++ b/lotusstream/policy/affinity.py
@@ -18,7 +18,9 @@
 from lotusstream import interface as api
 from lotusstream.rendezvous import unit_hash
 
-REFRESHED_ENDPOINTS = 16  # endpoints whose groups one refresh recomputes
+REFRESHED_ENDPOINTS = 16  # most endpoints whose groups one refresh recomputes
+MAX_DRAWS_PER_REFRESH = 16_384  # a draw is one group at one endpoint and takes about two microseconds
+MAX_COUNTED_GROUPS = 4096  # most table groups whose requests are counted in one epoch
 
 
 def group_seed(group: int) -> int:
@@ -62,11 +64,24 @@
             self._total = 0
         self._counts[group] += 1
         self._total += 1
+        if len(self._counts) > MAX_COUNTED_GROUPS:
+            self._drop_rare_groups()
         is_power_of_two = not self._total & (self._total - 1)
         if is_power_of_two:
             self._pending = deque(self._groups_by_endpoint)
         return is_power_of_two
 
+    def _drop_rare_groups(self) -> None:
+        """Subtracts the median count from all counts, which drops at least half of the groups.
+
+        Clients may name ever new groups, whose counts would take memory and processor time without limit.
+        The count of a frequent group is too low by the subtracted numbers (Misra and Gries 1982).
+        """
+        median = sorted(self._counts.values())[len(self._counts) // 2]
+        self._counts = Counter(
+            {group: count - median for group, count in self._counts.items() if count > median}
+        )
+
     def traffic_ratio(self, group: int, endpoints: int) -> float:
         """Returns the group's fraction of all requests, 0 to 1.
 
@@ -94,12 +109,13 @@
         return list(self._endpoints_by_group.get(group, ()))
 
     def refresh(self) -> None:
-        """Recomputes the groups of at most REFRESHED_ENDPOINTS scheduled endpoints."""
+        """Recomputes the groups of some scheduled endpoints: of fewer if there are many groups."""
         if not self._pending:
             return
         counts = self._counts + self._earlier_counts
         weighted = [(group_seed(group), group, count) for group, count in counts.items()]
-        for _ in range(min(REFRESHED_ENDPOINTS, len(self._pending))):
+        endpoints = max(1, min(REFRESHED_ENDPOINTS, MAX_DRAWS_PER_REFRESH // max(1, len(weighted))))
+        for _ in range(min(endpoints, len(self._pending))):
             endpoint_id = self._pending.popleft()
             if endpoint_id not in self._groups_by_endpoint:
                 continue
--- a/lotusstream/policy/affinity_sets.py
+++ b/lotusstream/policy/affinity_sets.py
@@ -19,6 +19,8 @@
 # objective.
 AFFINITY_EPOCH_OBJECTIVES = 16
 
+MAX_AFFINITY_SETS = 4096  # most sets that are kept
+
 # The endpoints of a set, in order of preference. A gateway whose traffic share is at least DOMINANT_SHARE
 # uses an empty set, since it relies on its own observations.
 AffinitySet = dict[api.EndpointId, None]
@@ -48,6 +50,8 @@
         domain = self._domains.of_request(request)
         key = (request.group, domain.key)
         if key not in self._sets:
+            if len(self._sets) >= MAX_AFFINITY_SETS:  # clients may name ever new groups
+                self._sets.clear()
             self._sets[key] = self._compute(request, domain)
         return self._sets[key]
 
