Nothing is sent for a client that has closed behind unread requests

Seen: eight loads of 200 KB, then a close; three reached an endpoint up to 0.44 s after it. An id that came again after its client had left ran twice, 10 of 10.

Cause: a connection was not read while a statement's table was searched, a peek shows a close only behind no unread byte, and an id was free while its attempt was still being cancelled.

Change: requests wait for their tables in net/request_intake.py while the connection reads on; a close is asked for with POLLRDHUP; ids stay in use until all attempts have ended, and the newest of those that may have run are remembered (net/call_ids.py).

--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -17,10 +17,10 @@
 from lotusstream.net.client_memory import ClientMemory, MemoryBudgetError, MemoryUse
 from lotusstream.net.client_receiver import ClientReceiver
 from lotusstream.net.clock import Clock
-from lotusstream.net.connection import has_readable_bytes
+from lotusstream.net.connection import has_readable_bytes, is_closed_by_peer
 from lotusstream.net.message_pause import MessagePause
 from lotusstream.net.received_request import ReceivedRequest, RequestAbandoned
-from lotusstream.net.request_reader import RequestReader, TenantLookup
+from lotusstream.net.request_intake import ReadRequest, RequestIntake, TenantLookup
 from lotusstream.net.statement_search import StatementSearch, TooManySearchesError
 from lotusstream.protocol import front
 
@@ -64,11 +64,12 @@
         self._account = memory.open_account(sock)
         self._receiver = ClientReceiver(sock, self._account, clock)
         self._limiter = limiter
-        self._request_reader = RequestReader(deployment, clock, statement_search, tenant_of)
+        self._intake = RequestIntake(
+            self, self._account, deployment, clock, statement_search, tenant_of, supervisor
+        )
         self._is_closing = False  # True: no further reply is queued, and bytes that arrive are dropped
         self._is_writing = False
         self._message_pause = MessagePause()
-        self._is_handling = False  # whether a message is being handled, which may take several iterations
 
     @property
     def partial_since(self) -> int | None:
@@ -90,7 +91,7 @@
         :returns: False if nothing was changed, because a request is open, a reply is being written, or
             received bytes are unread or being handled.
         """
-        if self.open_requests or self._is_handling or self._is_writing or len(self.mailbox):
+        if self._open_count or self._is_writing or len(self.mailbox):
             return False
         if self.has_unread_bytes() and not even_if_unread:
             return False
@@ -110,11 +111,8 @@
             return False
 
     def has_disconnected(self) -> bool:
-        """Whether the client has closed its side, even if the close was not read yet."""
-        try:
-            return has_readable_bytes(self._sock) is False
-        except OSError:
-            return True
+        """Whether the client has closed its side, even if bytes that it sent before are unread."""
+        return is_closed_by_peer(self._sock)
 
     def shutdown(self) -> None:
         """Shuts the socket down in both directions, which ends `serve`."""
@@ -136,6 +134,7 @@
             self.supervisor.counters.add("client connections reset")
         finally:
             self._is_closing = True
+            self._intake.close()
             for request in self.open_requests.values():
                 self._abandon(request)
             self.open_requests.clear()
@@ -145,24 +144,22 @@
             self._limiter.release(self)
 
     async def _read_messages(self) -> None:
-        while count := await self._receiver.receive():
+        # Requests are abandoned as soon as the client has closed its side, however much of it is unread.
+        while (count := await self._receiver.receive()) and not self.has_disconnected():
             # Bytes that arrive after the half-close are dropped: the client resends the request elsewhere.
             if not self._is_closing:
                 arrived_at = self._receiver.keep(count)
-                has_message = await self._handle_frames(arrived_at)
+                has_message = self._handle_frames(arrived_at)
                 self._receiver.track_partial_message(has_message, arrived_at)
             # Keeps a client that sends without pause from starving other connections.
-            await self._receiver.pause(self._message_pause.seconds(bool(self.open_requests)))
+            await self._receiver.pause(self._message_pause.seconds(bool(self._open_count)))
 
-    async def _handle_frames(self, arrived_at: int) -> bool:
+    def _handle_frames(self, arrived_at: int) -> bool:
         """Handles all complete frames. Returns whether there was at least one."""
         has_frame = False
         while (frame := self._receiver.next_frame()) is not None:
-            has_frame = self._is_handling = True
-            try:
-                await self._handle(frame, arrived_at)
-            finally:
-                self._is_handling = False
+            has_frame = True
+            self._handle(frame, arrived_at)
             self._update_limiter()
         return has_frame
 
@@ -175,7 +172,7 @@
         """Reports to the limiter whether a request is open; called after each message and each reply."""
         if self._is_closing:
             return
-        if self.open_requests:
+        if self._open_count:
             self._limiter.mark_busy(self)
         else:
             self._limiter.mark_idle(self)
@@ -206,7 +203,7 @@
 
     # Messages
 
-    async def _handle(self, frame: bytes, arrived_at: int) -> None:
+    def _handle(self, frame: bytes, arrived_at: int) -> None:
         try:
             message = front.decode(frame)
         except front.MessageFormatError as error:
@@ -223,12 +220,13 @@
             case front.CancelRequest():
                 self._on_cancel_request(message)
             case front.ProcessRequest():
-                await self._on_process_request(message, arrived_at)
+                self._on_process_request(message, arrived_at)
 
     def _on_health_probe(self, probe: front.HealthProbe) -> None:
         self.post(ClientReply(front.encode_answer("probe", probe.seqid, b"", self._is_healthy())))
 
     def _on_cancel_request(self, cancel: front.CancelRequest) -> None:
+        self._intake.withdraw(cancel.seqid)
         request = self._remove_request(cancel.seqid)
         if request is not None:
             self._abandon(request)
@@ -239,25 +237,52 @@
             self._account.release(MemoryUse.STATEMENTS, request.statement_bytes)
         return request
 
-    async def _on_process_request(self, message: front.ProcessRequest, arrived_at: int) -> None:
-        """Reports the request, or replies with a fault or a rejection. Raises FrameError if its sequence
-        number is in use."""
-        if message.seqid in self.open_requests:
-            raise front.FrameError(f"sequence number {message.seqid} belongs to a request that is still open")
+    def _on_process_request(self, message: front.ProcessRequest, arrived_at: int) -> None:
+        """Passes a request on to the intake. Raises FrameError if its sequence number is in use."""
+        seqid = message.seqid
+        if seqid in self.open_requests or seqid in self._intake:
+            raise front.FrameError(f"sequence number {seqid} belongs to a request that is still open")
         try:
-            self._limiter.mark_busy(self)
-            request = await self._request_reader.read(self, self._account, message, arrived_at)
-        except (TooManySearchesError, MemoryBudgetError):
-            self.supervisor.counters.add("commands past the limits")
-            self.post(ClientReply(front.encode_rejection(message.seqid, 0)))
+            if self._open_count >= front.MAX_OPEN_REQUEST_COUNT:
+                raise front.RequestFormatError("too many open")
+            self._intake.add(message, arrived_at)
+        except (MemoryBudgetError, front.RequestFormatError, UnicodeDecodeError) as error:
+            self.on_request_invalid(seqid, error)
+
+    @property
+    def _open_count(self) -> int:
+        return len(self.open_requests) + len(self._intake)
+
+    def on_request_read(self, request: ReadRequest) -> None:
+        """Reports a request, unless the connection is being closed."""
+        if self._is_closing:
             return
-        except (front.RequestFormatError, UnicodeDecodeError) as error:
+        message, sent_at = request.message, request.sent_at
+        deadline = sent_at + request.fields.time_left
+        received = ReceivedRequest(
+            self,
+            message.seqid,
+            request.fields,
+            request.group,
+            message.body,
+            deadline,
+            sent_at,
+            request.tenant,
+        )
+        self._message_pause.count_valid()
+        self.open_requests[message.seqid] = received
+        self._report(received)
+        self._update_limiter()
+
+    def on_request_invalid(self, seqid: int, error: Exception) -> None:
+        """Replies with a rejection if a limit is reached, else with a fault."""
+        if isinstance(error, (TooManySearchesError, MemoryBudgetError)):
+            self.supervisor.counters.add("commands past the limits")
+            self.post(ClientReply(front.encode_rejection(seqid, 0)))
+        else:
             self._message_pause.count_unusable()
             self.supervisor.counters.add("commands unusable")
             self.supervisor.log.write("client", f"invalid request: {error}")
             kind = TApplicationException.PROTOCOL_ERROR
-            self.post(ClientReply(front.encode_fault("process", message.seqid, kind, str(error))))
-            return
-        self._message_pause.count_valid()
-        self.open_requests[message.seqid] = request
-        self._report(request)
+            self.post(ClientReply(front.encode_fault("process", seqid, kind, str(error))))
+        self._update_limiter()
--- a/lotusstream/net/client_receiver.py
+++ b/lotusstream/net/client_receiver.py
@@ -8,10 +8,12 @@
 from lotusstream.net.buffer import Buffer
 from lotusstream.net.client_memory import ClientAccount, MemoryBudgetError, MemoryUse
 from lotusstream.net.clock import Clock
+from lotusstream.net.connection import is_closed_by_peer
 from lotusstream.protocol import front
 
 INITIAL_BUFFER_BYTES = 4096
 MEMORY_RETRY_S = 0.25  # pause before memory is asked for again
+CLOSE_CHECK_S = 0.05  # between two checks whether a client that waits for memory has closed its side
 
 
 class ClientReceiver:
@@ -55,11 +57,22 @@
             except MemoryBudgetError:
                 self.is_waiting = True
                 self._note_unread()
-                await asyncio.sleep(MEMORY_RETRY_S)
+                if await self._is_closed_within(MEMORY_RETRY_S):
+                    return False
             finally:
                 self.is_waiting = False
         return False
 
+    async def _is_closed_within(self, seconds: float) -> bool:
+        """Waits, at most until the client has closed its side. Returns whether it has."""
+        loop = asyncio.get_running_loop()
+        ends_at = loop.time() + seconds
+        while loop.time() < ends_at:
+            if is_closed_by_peer(self._sock):
+                return True
+            await asyncio.sleep(min(seconds, CLOSE_CHECK_S))
+        return False
+
     async def pause(self, seconds: float) -> None:
         """Reads nothing for some time; 0: until the next iteration of the event loop."""
         if seconds:
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import encodings.idna  # noqa: F401 - sock_connect imports it lazily, which fails when out of descriptors
+import select
 import socket
 import struct
 
@@ -23,6 +24,9 @@
 LINGER_DISCARD = struct.pack("ii", 1, 0)
 LINGER_DELIVER = struct.pack("ii", 0, 0)
 
+# Events of `poll` after which nothing more comes from the other side.
+CLOSED_BY_PEER = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
 Address = tuple[str, int]  # host and port
 
 
@@ -106,6 +110,16 @@
         return None
 
 
+def is_closed_by_peer(sock: socket.socket) -> bool:
+    """Whether the other side has closed the connection, even if bytes that it sent before are unread."""
+    poll = select.poll()
+    try:
+        poll.register(sock, CLOSED_BY_PEER)
+    except (OSError, ValueError):  # closed on this side
+        return True
+    return bool(poll.poll(0))
+
+
 class Connection:
     """Carries one call at a time. Must be closed after a call that failed.
 
--- a/lotusstream/net/open_requests.py
+++ b/lotusstream/net/open_requests.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from lotusstream.interface import Outcome
+from lotusstream.net.call_ids import CallIds
 from lotusstream.net.commitment_gate import CommitmentGate
 from lotusstream.net.endpoint import EndpointActor
 from lotusstream.net.received_request import ReceivedRequest
@@ -30,6 +31,7 @@
     # Start times of the attempts that may have been executed, including those in flight, by attempt index,
     # microseconds
     possible_executions: dict[int, int] = field(default_factory=dict)
+    is_answered: bool = False  # whether an endpoint has answered it
     awaits_commitment: bool = False  # whether the gate is storing the request's answer
     last_outcome: Outcome | None = None  # outcome of the attempt that ended last; None: none has ended
 
@@ -44,7 +46,7 @@
     statements are limited.
 
     A request is in the table from `add` until it is closed and none of its attempts is in flight. Closing it
-    frees its call id and its statement.
+    frees its statement, leaving the table its call id.
     """
 
     def __init__(self, max_requests: int, max_statement_bytes: int) -> None:
@@ -58,7 +60,7 @@
         self._last_id = 0
         self._by_id: dict[int, OpenRequest] = {}
         self._by_received: dict[ReceivedRequest, OpenRequest] = {}  # open requests only
-        self._call_ids: set[str] = set()  # call ids of the open requests
+        self._call_ids = CallIds()
 
     def __contains__(self, request_id: int) -> bool:
         return request_id in self._by_id
@@ -87,7 +89,7 @@
         return self._by_received.get(received)
 
     def has_call_id(self, call_id: str) -> bool:
-        """Whether a request with this call id is open."""
+        """Whether a request with this call id is in the table, or may have run without an answer."""
         return call_id in self._call_ids
 
     def has_capacity_for(self, received: ReceivedRequest) -> bool:
@@ -107,17 +109,19 @@
         return request
 
     def close(self, request: OpenRequest) -> None:
-        """Closes a request that needs no further reply, and frees its statement and call id."""
+        """Closes a request that needs no further reply, and frees its statement."""
         received = request.received
         request.is_open = False
         received.closed = True
         self._statement_bytes -= len(received.statement)
         received.statement = b""
         self._by_received.pop(received, None)
-        self._call_ids.discard(received.fields.call_id)
         self.remove_if_finished(request)
 
     def remove_if_finished(self, request: OpenRequest) -> None:
         """Removes the request from the table if it is closed and no attempt is in flight."""
-        if not request.is_open and not request.in_flight:
-            self._by_id.pop(request.request_id, None)
+        if request.is_open or request.in_flight or request.request_id not in self._by_id:
+            return
+        del self._by_id[request.request_id]
+        may_have_run = request.may_have_run and not request.is_answered
+        self._call_ids.release(request.received.fields.call_id, may_have_run)
--- a/lotusstream/net/request_lifecycle.py
+++ b/lotusstream/net/request_lifecycle.py
@@ -42,12 +42,12 @@
         counters.add(f"taken {profile}")
         queue_delay = now - received.sent_at
         counters.observe("wait before the module, us", queue_delay)
-        if received.closed:
+        if not received.is_awaited():
             counters.add("left before they were decided")
             return None
         if self._requests.has_call_id(received.fields.call_id):
             counters.add("commands unusable")
-            failure = front.encode_failure(received.seqid, "call is open already")
+            failure = front.encode_failure(received.seqid, "call is open already, or may have run")
             received.client.post(ClientReply(failure, received))
             return None
         if not self._requests.has_capacity_for(received):
@@ -120,6 +120,7 @@
     def _on_answer(self, request: OpenRequest, rows: bytes) -> None:
         """Replies with the first answer, or passes it to the commitment gate, which then posts
         AnswerReady."""
+        request.is_answered = True
         if request.gate is None:
             self._replies.answer(request, rows)
         elif not request.awaits_commitment:
--- a/lotusstream/net/statement_search.py
+++ b/lotusstream/net/statement_search.py
@@ -26,40 +26,39 @@
     def __init__(self) -> None:
         self._turn = asyncio.Lock()  # held during a slice and the rest of its iteration
         self._long_search_count = 0
-        # The calls with `in_order` that have not returned, earliest first. An event is set once all
-        # earlier calls have returned.
-        self._ordered_calls: deque[asyncio.Event] = deque()
+        self._places: deque[asyncio.Event] = deque()  # places that are not given up, earliest first
 
-    async def table_group(self, statement: str, in_order: bool = False) -> int | None:
-        """Returns the table group of a statement; None if it names none. Raises TooManySearchesError.
+    def take_place(self) -> asyncio.Event:
+        """Returns a place in the order of arrival, to be given up with `leave`. It is set once all earlier
+        places have been given up."""
+        place = asyncio.Event()
+        self._places.append(place)
+        self._places[0].set()
+        return place
 
-        :param in_order: return only after all earlier calls with `in_order` have returned. Otherwise a
-            request with a short statement would overtake an earlier one with a long statement.
-        """
-        if not in_order:
-            return await self._search(statement)
-        is_first = asyncio.Event()
-        self._ordered_calls.append(is_first)
-        self._wake_first_ordered_call()
-        try:
-            group = await self._search(statement)
-            await is_first.wait()
-            return group
-        finally:
-            self._ordered_calls.remove(is_first)
-            self._wake_first_ordered_call()
-
-    def _wake_first_ordered_call(self) -> None:
-        if self._ordered_calls:
-            self._ordered_calls[0].set()
+    def leave(self, place: asyncio.Event) -> None:
+        """Gives up a place."""
+        self._places.remove(place)
+        if self._places:
+            self._places[0].set()
 
-    async def _search(self, statement: str) -> int | None:
+    def begin(self, statement: str) -> TableGroupSearch:
+        """Returns a search after its first slice, which usually ends it."""
         search = TableGroupSearch(statement)
-        if search.advance(FIRST_SLICE_COST):
-            return search.group
-        if len(statement) <= LONG_STATEMENT_CHARACTERS:
+        search.advance(FIRST_SLICE_COST)
+        return search
+
+    async def finish(self, search: TableGroupSearch, character_count: int) -> None:
+        """Ends a search.
+
+        :param character_count: length of the statement.
+        :raises TooManySearchesError: too many long statements are searched already.
+        """
+        if search.has_ended:
+            return
+        if character_count <= LONG_STATEMENT_CHARACTERS:
             await self._finish(search)
-            return search.group
+            return
         if self._long_search_count >= MAX_LONG_SEARCH_COUNT:
             raise TooManySearchesError
         self._long_search_count += 1
@@ -67,6 +66,11 @@
             await self._finish(search)
         finally:
             self._long_search_count -= 1
+
+    async def table_group(self, statement: str) -> int | None:
+        """Returns the table group of a statement; None if it names none. Raises TooManySearchesError."""
+        search = self.begin(statement)
+        await self.finish(search, len(statement))
         return search.group
 
     async def _finish(self, search: TableGroupSearch) -> None:
--- a/lotusstream/net/subsystems.py
+++ b/lotusstream/net/subsystems.py
@@ -16,7 +16,7 @@
 from lotusstream.net.decider import Decider
 from lotusstream.net.decider_messages import SubsystemEvent
 from lotusstream.net.decision_module import DecisionModule
-from lotusstream.net.request_reader import TenantLookup
+from lotusstream.net.request_intake import TenantLookup
 from lotusstream.operator.file import OperatorFile, changes_requiring_restart
 from lotusstream.operator.problems import OperatorFileError
 
--- a/lotusstream/protocol/tables.py
+++ b/lotusstream/protocol/tables.py
@@ -67,6 +67,7 @@
     """
 
     def __init__(self, statement: str) -> None:
+        self.has_ended = False
         self._steps = _search(statement)
         self._schema: _Schema | None = None
 
@@ -81,8 +82,8 @@
                 cost += next(self._steps)
         except StopIteration as end:
             self._schema = end.value
-            return True
-        return False
+            self.has_ended = True
+        return self.has_ended
 
     @property
     def group(self) -> int | None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -221,6 +221,9 @@
         self.replies.append(reply)
         self.posted.set()
 
+    def has_disconnected(self) -> bool:
+        return False
+
 
 @pytest.fixture
 async def gateway() -> Any:
