A new process at an old address gets no calls meant for the one before

Seen: a machine vanishes under a load and a new process has its address; the gateway polled the new one for it, and answered a class that may run once from there. Both endpoints stayed listed as ready at one address.

Cause: polls, cancellations and priorities name an address and the client's id only, and the registry did not notice that an address was taken over.

--- a/lotusstream/net/attempt_calls.py
+++ b/lotusstream/net/attempt_calls.py
@@ -99,13 +99,13 @@
         :param read: parses a response; returns None if the response is malformed.
         :param is_retry: whether an earlier call for the same purpose has failed.
         :returns: the parsed result, or an outcome if the endpoint reported an error, its process ended, or
-            all calls have failed for so long that the endpoint has abandoned the attempt. If the endpoint
-            accepts calls but never responds, the decision module or the deadline has to end the attempt.
+            all calls failed for so long that it has abandoned the attempt. If it accepts calls but never
+            responds, the decision module or the deadline has to end the attempt.
         """
         retries = 1 if is_retry else 0
         began = 0
         last_reached_at = self._clock.now()  # the last time at which the endpoint may have received a call
-        while not attempt.has_ended:
+        while not attempt.has_ended and not attempt.is_orphaned:
             if attempt.is_cancelled and not self._context.allows_hedging:
                 return await self._end_as_lost(attempt)
             if retries > 1:
@@ -190,7 +190,7 @@
         if not self._context.allows_hedging:
             return await self._end_as_lost(attempt)
         if not attempt.has_ended and not attempt.is_cancelled:
-            attempt.endpoint_responded = await self._send_control(self._delete_request(attempt))
+            attempt.endpoint_responded = await self._send_delete(attempt)
         return Outcome.RESET
 
     async def _end_as_abandoned(self, attempt: RunningAttempt) -> Outcome:
@@ -211,7 +211,7 @@
         pause = self._pool.connect_timeout
         while self._may_still_run(attempt):
             time_left = abandoned_at - self._clock.now()
-            if time_left <= 0 or await self._send_control(self._delete_request(attempt)):
+            if time_left <= 0 or await self._send_delete(attempt):
                 break
             await asyncio.sleep(min(time_left, pause) / US_PER_S)
         return Outcome.RESET
@@ -234,16 +234,23 @@
     async def _delete(self, attempt: RunningAttempt) -> None:
         is_accepted = False
         try:
-            is_accepted = await self._send_control(self._delete_request(attempt))
+            is_accepted = await self._send_delete(attempt)
         finally:
             # Without hedging, `call_until_usable` repeats the cancellation until the endpoint accepts it.
             if is_accepted or self._context.allows_hedging:
                 attempt.end(Outcome.CANCELLED)
 
-    def _delete_request(self, attempt: RunningAttempt) -> bytes:
-        return http.encode_request("DELETE", f"/x/{attempt.start.call_id}", self._pool.host, {})
+    async def _send_delete(self, attempt: RunningAttempt) -> bool:
+        """Cancels the attempt at the endpoint, unless its process has ended. Returns whether the endpoint
+        accepted the call."""
+        if attempt.is_orphaned:
+            return False
+        target = f"/x/{attempt.start.call_id}"
+        return await self._send_control(http.encode_request("DELETE", target, self._pool.host, {}))
 
     async def _set_priority(self, attempt: RunningAttempt) -> None:
+        if attempt.is_orphaned:
+            return
         body = str(attempt.priority).encode()
         target = f"/x/{attempt.start.call_id}"
         await self._send_control(http.encode_request("PUT", target, self._pool.host, {}, body))
--- a/lotusstream/net/endpoint.py
+++ b/lotusstream/net/endpoint.py
@@ -22,6 +22,7 @@
 
     is_ready: bool  # whether new attempts may be sent
     restarted: bool  # whether the entry is for a new incarnation of the endpoint
+    process_ended: bool = False  # whether another process has the endpoint's address now
 
 
 EndpointMessage = RunAttempt | AbortAttempt | ChangePriority | EndpointListingChanged
@@ -143,6 +144,8 @@
         self._context.is_ready = listing.is_ready
         if listing.restarted:
             self._context.incarnation += 1
+        if listing.process_ended:
+            self._context.current_process = self._context.incarnation
         if listing.restarted or not listing.is_ready:
             self._pool.clear()
 
--- a/lotusstream/net/endpoint_registry.py
+++ b/lotusstream/net/endpoint_registry.py
@@ -8,9 +8,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
 
 from lotusstream import interface as api
+from lotusstream.net.address_owners import AddressOwners, removed
 from lotusstream.net.connection import Address
 from lotusstream.net.endpoint import EndpointActor, EndpointListingChanged
 from lotusstream.protocol.discovery import EndpointListUpdate, ListedEndpoint, is_ready
@@ -27,6 +27,7 @@
         """`make_actor`: creates the actor of an endpoint at an address. `idle_timeout`: microseconds without
         an attempt after which an actor is ended."""
         self.listed: dict[api.EndpointId, ListedEndpoint] = {}
+        self._address_owners = AddressOwners(self.listed)
         self._make_actor = make_actor
         self._idle_timeout = idle_timeout
         self._actors: dict[api.EndpointId, EndpointActor] = {}  # least recently used first
@@ -38,16 +39,18 @@
 
     def changed_entries(self, update: EndpointListUpdate) -> list[ListedEndpoint]:
         """Returns the entries that an update changes, endpoints that are not ready first. An endpoint that is
-        missing from a snapshot counts as removed."""
+        missing from a snapshot, or whose address another one has taken over, counts as removed."""
         changed: dict[api.EndpointId, ListedEndpoint] = {}
         for listed in update.endpoints:
-            if self.listed.get(listed.entry.id) != listed:
+            is_changed = self.listed.get(listed.entry.id) != listed
+            if is_changed and not self._address_owners.is_superseded(listed):
                 changed[listed.entry.id] = listed
         if update.is_snapshot:
             included = {listed.entry.id for listed in update.endpoints}
             for endpoint_id, before in self.listed.items():
                 if endpoint_id not in included:
-                    changed[endpoint_id] = replace(before, entry=_removed(before.entry))
+                    changed[endpoint_id] = removed(before)
+        self._address_owners.resolve(changed)
         return sorted(changed.values(), key=is_ready)
 
     def apply(self, changed: Iterable[ListedEndpoint]) -> None:
@@ -63,16 +66,35 @@
             self.listed.pop(entry.id, None)
         else:
             self.listed[entry.id] = listed
+        if listed.address is not None and not is_removed:
+            self._end_other_processes(listed.entry.id, listed.address, before)
         actor = self._actors.get(entry.id)
         if actor is None:
             return
         has_moved = listed.address is not None and listed.address != actor.address
-        restarted = has_moved or (before is not None and before.entry.started_at != entry.started_at)
-        actor.post(EndpointListingChanged(is_ready=is_ready(listed) and not has_moved, restarted=restarted))
+        has_new_process = before is not None and before.entry.started_at != entry.started_at
+        actor.post(
+            EndpointListingChanged(
+                is_ready=is_ready(listed) and not has_moved,
+                restarted=has_moved or has_new_process,
+                process_ended=has_new_process and not has_moved,
+            )
+        )
         if has_moved or is_removed:
             del self._actors[entry.id]
             self._retired[actor] = None
 
+    def _end_other_processes(
+        self, endpoint_id: api.EndpointId, address: Address, before: ListedEndpoint | None
+    ) -> None:
+        """Notifies the actors of other endpoints that their process has ended, if this one is new at their
+        address. Their attempts may not run to their end there: the new process knows nothing of them."""
+        if before is not None and before.address == address:
+            return
+        for actor in (*self._actors.values(), *self._retired):
+            if actor.address == address and actor.endpoint_id != endpoint_id:
+                actor.post(EndpointListingChanged(is_ready=False, restarted=True, process_ended=True))
+
     def actor(self, endpoint_id: api.EndpointId) -> EndpointActor | None:
         """Returns the actor for a new attempt, creating it if needed. None: the endpoint has no actor yet,
         and it is not listed or has no address."""
@@ -110,7 +132,3 @@
                 self._actors[endpoint_id] = actor
             else:
                 actor.close()
-
-
-def _removed(entry: api.EndpointEntry) -> api.EndpointEntry:
-    return replace(entry, status=api.EndpointStatus.REMOVED)
--- a/lotusstream/net/running_attempt.py
+++ b/lotusstream/net/running_attempt.py
@@ -27,6 +27,7 @@
     allows_hedging: bool  # whether two attempts of a request may be in flight at once
     is_ready: bool = True  # whether new attempts may be sent
     incarnation: int = 0  # number of restarts of the endpoint that its list entries have shown
+    current_process: int = 0  # incarnation with which the process began that has the endpoint's address
 
 
 @dataclass(slots=True, eq=False)
@@ -53,6 +54,12 @@
     def __post_init__(self) -> None:
         self.priority = self.start.priority
 
+    @property
+    def is_orphaned(self) -> bool:
+        """Whether the process that got it has ended, and another one has its address. That one must get no
+        call for this attempt: a further attempt of the request may run there under the same id."""
+        return self.incarnation < self.context.current_process
+
     def withdraw(self) -> None:
         """Ensures that the endpoint does not receive the attempt from now on. Has no effect once the endpoint
         has responded to it; the attempt then has to be cancelled there."""
