--- a/lotusstream/net/address_owners.py
+++ b/lotusstream/net/address_owners.py
@@ -34,7 +34,9 @@
 
     def is_superseded(self, listed: ListedEndpoint) -> bool:
         """Whether another endpoint has taken over the address of this one, which is not to be listed then."""
-        return _is_present(listed) and self._superseded.get(listed.entry.id) == listed.address
+        if listed.address is None or not _is_present(listed):
+            return False
+        return self._superseded.get(listed.entry.id) == listed.address
 
     def resolve(self, changed: ChangedEntries) -> None:
         """Replaces or adds the entries of endpoints whose address is taken over: they are removed.
