Calls to the quorum that are open at once have different request ids

Cause: after a timeout ask_leader asked the next node with the counter's present value, which another open call may have drawn. A call could take the other's reply, and a reply without a result counted as the quorum's agreement to a note.

Change: an id for each request; a note is stored only if a result says so.

--- a/lotusstream/net/quorum_client.py
+++ b/lotusstream/net/quorum_client.py
@@ -83,17 +83,17 @@
 
         :raises ControlRejectedError: no leader has answered, or the leader rejected the request
         """
-        self._number -= 1
         remaining = list(self._members)
         reason = "no quorum member answers"
         for _ in range(len(remaining) + EXTRA_ATTEMPT_COUNT):
             if not remaining:
                 break
             member = remaining.pop(0)
+            # Each request has an id of its own: a reply to another one, open or given up, must not match it.
+            self._number -= 1
             reply = await self._ask(member, make_request(self._number))
             if reply is None:
                 continue
-            self._number -= 1
             if reply.done or reply.result is not None:
                 return reply
             reason = reply.reason or reason
@@ -118,7 +118,7 @@
         except ControlRejectedError as error:
             return str(error)
         if reply.result is None:
-            return reply.reason
+            return reply.reason or "the quorum has not said whether it stored the note"
         return "" if reply.result.done else reply.result.reason
 
     async def _ask(self, member: str, request: QuorumRequest) -> wire.QuorumReply | None:
