Connections with an open request are not closed for the memory of others

Cause: if received bytes take too much memory, the connection with the fewest valid messages is closed, whether or not a request is open on it.

Change: connections with an open request or an unread reply are left out.

--- a/lotusstream/net/client_memory.py
+++ b/lotusstream/net/client_memory.py
@@ -63,9 +63,10 @@
     """The memory that all clients share. Limits each use, and all together.
 
     If a client needs memory that is not left, connections that have sent fewer valid messages are closed
-    until there is enough: first those with the fewest, of these the one with the most bytes. If there is
-    none, the client has to wait. Where replies take too much, the connection with the most unread bytes is
-    closed. Statements are refused, since closing a connection would lose the answers to its requests.
+    until there is enough: first those with the fewest, of these the one with the most bytes. Connections with
+    an open request or an unread reply are left out. If there is none, the client has to wait. Where replies
+    take too much, the connection with the most unread bytes is closed. Statements are refused, since closing
+    a connection would lose the answers to its requests.
     """
 
     def __init__(self, memory: int, counters: Counters) -> None:
@@ -110,17 +111,23 @@
         return MemoryUse.RECEIVED if self._used[MemoryUse.RECEIVED] else use
 
     def _close_less_useful(self, account: ClientAccount) -> bool:
-        """Closes one connection that holds received bytes and has sent fewer valid messages than this
-        account's. Returns False if there is none."""
+        """Closes one connection that holds received bytes, has sent fewer valid messages than this account's,
+        and has no open request or unread reply. Returns False if there is none."""
         held = self._by_account[MemoryUse.RECEIVED]
-        if not held or not account.valid_message_count:
+        candidates = [each for each in held if not self._has_request_or_reply(each)]
+        if not candidates or not account.valid_message_count:
             return False
-        victim = min(held, key=lambda each: (each.valid_message_count, -held[each]))
+        victim = min(candidates, key=lambda each: (each.valid_message_count, -held[each]))
         if victim.valid_message_count >= account.valid_message_count:
             return False
         self._close(victim)
         return True
 
+    def _has_request_or_reply(self, account: ClientAccount) -> bool:
+        """Whether closing the connection would lose the answer to a request that was received."""
+        uses = (MemoryUse.STATEMENTS, MemoryUse.REPLIES)
+        return any(account in self._by_account[use] for use in uses)
+
     def _close_slowest_reader(self, account: ClientAccount, size: int) -> None:
         """Closes the connection with the most unread bytes. Raises MemoryBudgetError if it is this account's,
         with `size` bytes more."""
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -110,6 +110,22 @@
     assert closed(usual, bad) == [False, False] and memory.used(MemoryUse.RECEIVED) == MB
 
 
+@pytest.mark.parametrize("use", [MemoryUse.STATEMENTS, MemoryUse.REPLIES])
+def test_connection_with_an_open_request_is_not_closed_for_another(use: MemoryUse) -> None:
+    """Bad clients sent many valid messages, so that the connection of a usual one went first. The answer to
+    its open request was lost with it."""
+    memory = memory_of(16 * MB)  # 1 MB for received bytes
+    usual, bad = account_in(memory, 2), account_in(memory, 40)
+    usual.reserve(use, 100)
+    usual.reserve(MemoryUse.RECEIVED, MB)
+    with pytest.raises(MemoryBudgetError):
+        bad.reserve(MemoryUse.RECEIVED, 1)
+    assert closed(usual) == [False]
+    usual.release(use, 100)
+    bad.reserve(MemoryUse.RECEIVED, 1)
+    assert closed(usual) == [True]
+
+
 def test_unread_replies_close_the_client_with_the_most() -> None:
     """A client that reads nothing is cut off, even if it has sent valid messages all the time."""
     memory = memory_of(16 * MB)  # 2 MB for replies
