Cancellations are repeated until the endpoint has accepted them

Cause, by a trace of every call at the gateway and at the endpoints: - A cancellation was tried once. If its connection broke, nothing told the endpoint when it went on.

Change: net/cancellations.py cancels again until the endpoint accepts it, for as long as a hang may last, one connection an endpoint, and all at once when the endpoint responds to any call. If the attempt went out on a new connection, so does its cancellation. Until it is accepted, the endpoint gets no other attempt of the request (they share the id): such an attempt ends as not executed.

--- a/lotusstream/net/attempt_calls.py
+++ b/lotusstream/net/attempt_calls.py
@@ -4,10 +4,10 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum, auto
 from typing import TypeVar
 
 from lotusstream.interface import Outcome
+from lotusstream.net.cancellations import Cancellations
 from lotusstream.net.connection import (
     US_PER_S,
     CallAbortedError,
@@ -16,21 +16,13 @@
     ConnectError,
     ConnectionRefusedByPeerError,
 )
+from lotusstream.net.control_calls import CallFailure, ControlCalls
 from lotusstream.net.running_attempt import EndpointContext, RunningAttempt
 from lotusstream.protocol import http
 
 T = TypeVar("T")
 
 
-class CallFailure(Enum):
-    """Why a call got no response."""
-
-    REFUSED = auto()  # the endpoint's address refused the connection
-    NOT_CONNECTED = auto()  # no connection to the endpoint could be opened for another reason
-    BROKEN = auto()  # the connection broke after at least a part of the call was sent
-    TIMED_OUT = auto()  # the call was sent and no complete response arrived in time
-
-
 class AttemptCalls:
     """Makes calls to one endpoint.
 
@@ -47,6 +39,8 @@
         self._pool = context.pool
         self._clock = context.clock
         self._counters = context.supervisor.counters
+        self._control_calls = ControlCalls(context)
+        self.cancellations = Cancellations(context, self._control_calls)
 
     async def send(
         self, attempt: RunningAttempt, request: bytes, status_request: bytes
@@ -62,6 +56,7 @@
         attempt.connection = None
         timeout = min(http.CALL_TIMEOUT_US, attempt.start.deliver_by - self._clock.now())
         attempt.sending_connection = connection
+        attempt.needs_new_connection = connection.is_new
         try:
             response = await self._pool.call_and_keep(connection, request, timeout)
         except CallBrokenError as error:
@@ -71,6 +66,8 @@
         else:
             attempt.connection = connection
             attempt.endpoint_responded = True
+            attempt.needs_new_connection = False
+            self.cancellations.on_response()
             status = self._read(attempt, response, http.parse_attempt_status, is_retry=False)
             if status is not None:
                 return status
@@ -156,6 +153,7 @@
             return CallFailure.TIMED_OUT if isinstance(error, CallTimeoutError) else CallFailure.BROKEN
         attempt.connection = connection
         attempt.endpoint_responded = True
+        self.cancellations.on_response()
         return response
 
     def _read(
@@ -190,7 +188,7 @@
         if not self._context.allows_hedging:
             return await self._end_as_lost(attempt)
         if not attempt.has_ended and not attempt.is_cancelled:
-            attempt.endpoint_responded = await self._send_delete(attempt)
+            attempt.endpoint_responded = await self.cancellations.cancel(attempt)
         return Outcome.RESET
 
     async def _end_as_abandoned(self, attempt: RunningAttempt) -> Outcome:
@@ -211,7 +209,7 @@
         pause = self._pool.connect_timeout
         while self._may_still_run(attempt):
             time_left = abandoned_at - self._clock.now()
-            if time_left <= 0 or await self._send_delete(attempt):
+            if time_left <= 0 or await self.cancellations.cancel(attempt):
                 break
             await asyncio.sleep(min(time_left, pause) / US_PER_S)
         return Outcome.RESET
@@ -229,44 +227,16 @@
 
     def start_set_priority(self, attempt: RunningAttempt) -> None:
         """Starts a task that sends the attempt's current priority to the endpoint."""
-        self._context.supervisor.start(f"{self._context.name} priority", self._set_priority(attempt))
+        if attempt.is_orphaned:
+            return
+        calls = self._control_calls.set_priority(attempt, fresh=not self._context.allows_hedging)
+        self._context.supervisor.start(f"{self._context.name} priority", calls)
 
     async def _delete(self, attempt: RunningAttempt) -> None:
         is_accepted = False
         try:
-            is_accepted = await self._send_delete(attempt)
+            is_accepted = await self.cancellations.cancel(attempt)
         finally:
             # Without hedging, `call_until_usable` repeats the cancellation until the endpoint accepts it.
             if is_accepted or self._context.allows_hedging:
                 attempt.end(Outcome.CANCELLED)
-
-    async def _send_delete(self, attempt: RunningAttempt) -> bool:
-        """Cancels the attempt at the endpoint, unless its process has ended. Returns whether the endpoint
-        accepted the call."""
-        if attempt.is_orphaned:
-            return False
-        target = f"/x/{attempt.start.call_id}"
-        return await self._send_control(http.encode_request("DELETE", target, self._pool.host, {}))
-
-    async def _set_priority(self, attempt: RunningAttempt) -> None:
-        if attempt.is_orphaned:
-            return
-        body = str(attempt.priority).encode()
-        target = f"/x/{attempt.start.call_id}"
-        await self._send_control(http.encode_request("PUT", target, self._pool.host, {}, body))
-
-    async def _send_control(self, request: bytes) -> bool:
-        """Sends a control call. Returns whether the endpoint accepted it."""
-        try:
-            connection = await self._pool.get(may_use_reserve=True, fresh=not self._context.allows_hedging)
-            response = await self._pool.call_and_keep(connection, request, http.CALL_TIMEOUT_US)
-            if response.status == http.NO_CONTENT:
-                self._pool.put_back(connection)
-                return True
-            self._counters.add("answers spoilt")
-            connection.close()
-        except ConnectError:
-            self._counters.add("calls not connected")
-        except CallBrokenError:
-            self._counters.add("calls broken")
-        return False
--- a/lotusstream/net/attempt_runner.py
+++ b/lotusstream/net/attempt_runner.py
@@ -80,13 +80,18 @@
     def _may_send(self, attempt: RunningAttempt) -> bool:
         """Whether the attempt may still be sent. Checked right before the first byte, since connecting may
         have taken long: the endpoint may be draining or have restarted at the same address, the client may
-        have disconnected, or a time limit may have passed. Client disconnects are checked here because the
-        decision module may be unable to cancel, and an unsent attempt needs no cancellation. The time limits
-        are checked here because `asyncio.timeout` fires only once the task awaits something."""
+        have disconnected, or a time limit may have passed. While the endpoint may still begin a cancelled
+        attempt of the same request, the cancellation would end this one too, as they share an id.
+
+        Client disconnects are checked here because the decision module may be unable to cancel, and an unsent
+        attempt needs no cancellation. The time limits are checked here because `asyncio.timeout` fires only
+        once the task awaits something."""
         if self._clock.now() >= min(attempt.start.deadline, attempt.start.deliver_by):
             return False
         if not self._context.is_ready or attempt.incarnation != self._context.incarnation:
             return False
+        if self._calls.cancellations.is_open(attempt.start.call_id):
+            return False
         return attempt.start.is_awaited()
 
     def _post_request(self, attempt: RunningAttempt) -> bytes:
--- a/lotusstream/net/connection.py
+++ b/lotusstream/net/connection.py
@@ -242,6 +242,11 @@
         """Whether it has carried as many results as it remembers."""
         return len(self._results) >= MAX_RESULTS_PER_CONNECTION
 
+    @property
+    def is_new(self) -> bool:
+        """Whether it has not been idle yet, so that the other side may not have accepted it."""
+        return not self.idle_since
+
     def abort_call(self) -> None:
         """Ends the call in progress with CallAbortedError, if there is one. Has no effect on a call whose
         time limit has just expired: it ends with CallTimeoutError."""
--- a/lotusstream/net/endpoint.py
+++ b/lotusstream/net/endpoint.py
@@ -76,6 +76,11 @@
         """Whether two attempts of a request may be in flight at once."""
         return self._context.allows_hedging
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether no attempt is in flight and no cancellation is being repeated."""
+        return not self.in_flight and not self._calls.cancellations.has_repeated
+
     def set_ready(self, is_ready: bool) -> None:
         """Sets whether new attempts may be sent."""
         self._context.is_ready = is_ready
@@ -93,6 +98,7 @@
     def close(self) -> None:
         """Closes the idle connections and ends the actor. Attempts in flight run to their end."""
         self._pool.close()
+        self._calls.cancellations.clear()
         if self._task is not None:
             self._task.cancel()
 
@@ -144,6 +150,7 @@
         self._context.is_ready = listing.is_ready
         if listing.restarted:
             self._context.incarnation += 1
+            self._calls.cancellations.clear()
         if listing.process_ended:
             self._context.current_process = self._context.incarnation
         if listing.restarted or not listing.is_ready:
--- a/lotusstream/net/endpoint_registry.py
+++ b/lotusstream/net/endpoint_registry.py
@@ -118,9 +118,9 @@
         }
 
     def close_idle_actors(self, now: int) -> None:
-        """Periodic evaluation: ends retired actors without an attempt in flight, and up to
+        """Periodic evaluation: ends retired actors that are unused, and up to
         MAX_CLOSED_PER_EVALUATION actors that were idle for the idle timeout. `now`: in microseconds."""
-        for actor in [actor for actor in self._retired if not actor.in_flight]:
+        for actor in [actor for actor in self._retired if actor.is_unused]:
             del self._retired[actor]
             actor.close()
         for _ in range(min(MAX_CLOSED_PER_EVALUATION, len(self._actors))):
--- a/lotusstream/net/running_attempt.py
+++ b/lotusstream/net/running_attempt.py
@@ -43,6 +43,10 @@
     # Connection on which it is being sent, until the endpoint responds; None: it is not sent yet, the
     # endpoint has responded, or the connection broke.
     sending_connection: Connection | None = None
+    # Whether a cancellation has to use a connection that is opened for it. An endpoint reads the connections
+    # that it has accepted before those that wait, so a cancellation on an idle connection may be read before
+    # an attempt on a new one, and has no effect then.
+    needs_new_connection: bool = False
     is_posted: bool = False  # whether its first byte may have been sent
     is_cancelled: bool = False
     endpoint_responded: bool = False  # whether the last call for it got a response
