Soak: servers hang and go on with what they have received

Change: seven of ten plans let up to a fifth of the servers hang for 1 to 25 s (half of the run at most), beside their other faults, cut links among them. Half of the connections that are opened meanwhile are reset. New check: an attempt that a server begins after a hang and after its request's end must not run to its end, unless its gateway was killed or stood still. Planted defect `cancelled-once`.

--- a/lotusstream/lab/scale/planted.py
+++ b/lotusstream/lab/scale/planted.py
@@ -18,6 +18,7 @@
 from lotusstream.net import connection as outgoing
 from lotusstream.net import gateway as server
 from lotusstream.net.attempt_runner import AttemptRunner
+from lotusstream.net.cancellations import Cancellations
 from lotusstream.net.client_memory import ClientMemory
 from lotusstream.net.connection import Connection
 from lotusstream.net.discovery import DiscoveryActor, Poll
@@ -158,6 +159,15 @@
     RunningAttempt.withdraw = lambda self: None  # type: ignore[method-assign]
 
 
+def cancelled_once() -> None:
+    """Tries each cancellation once, on any connection."""
+
+    async def cancel(self: Cancellations, attempt: RunningAttempt) -> bool:
+        return await self._calls.delete(attempt.start.call_id, fresh=False) is None
+
+    Cancellations.cancel = cancel  # type: ignore[method-assign]
+
+
 def dropped_overdue_polls() -> None:
     """Gives up a poll of discovery once it is overdue."""
     check = DiscoveryActor._on_poll_check_due
@@ -185,6 +195,7 @@
     "unlimited-client-memory": unlimited_client_memory,
     "no-late-checks": no_late_checks,
     "calls-delivered-late": calls_delivered_late,
+    "cancelled-once": cancelled_once,
     "dropped-overdue-polls": dropped_overdue_polls,
 }
 
--- a/lotusstream/lab/scale/servers.py
+++ b/lotusstream/lab/scale/servers.py
@@ -5,8 +5,10 @@
 import asyncio
 import random
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from ipaddress import IPv4Address
 from typing import cast
 
@@ -15,6 +17,7 @@
 FIRST_ADDRESS = IPv4Address("127.20.0.1")
 LONG_POLL_SECONDS = 0.25  # how long a server delays the answer "202: still running"
 MAX_HELD_SECONDS = 0.5  # after this time a gateway gives up a call, so a cut link holds it no longer
+HANG_RESET_SHARE = 0.5  # of the connections that are opened to a server while it hangs
 MAX_REPEAT_DELAY_SECONDS = 0.5  # longest delay of a response that is sent a second time
 
 
@@ -29,12 +32,16 @@
     time_out: float  # time limit that the gateway sent with it, seconds
     ran: bool = True  # False: the server rejected it as not executed
     held: float = 0.0  # longest time for which a cut link may have held it, seconds
+    read_at: float = 0.0  # when the server had read it completely, Unix seconds
+    is_cancelled: bool = False  # whether a cancellation was read before its query ended
+    is_executed: bool = False  # whether its query ran to the end
 
 
 @dataclass(slots=True)
 class Query:
     """A query that a server runs. `ended` is set when its result can be fetched."""
 
+    attempt: Attempt  # the attempt that started it
     ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -52,6 +59,7 @@
         self.state, self.boot_ms = "ready", 0
         self.silent = False  # it records attempts and sends no response
         self.full = False  # it rejects all attempts as not executed
+        self.hangs = False  # it reads nothing and sends no response, see `hang`
         self.endpoint = f"{address}:{port}"  # where gateways reach it
         # Until when, in Unix seconds, attempts may arrive that a cut link has held.
         self.delivers_held_until = 0.0
@@ -59,7 +67,8 @@
         self._queries: dict[str, Query] = {}  # by request id
         self._running_count = 0
         self._listener: asyncio.Server | None = None
-        self._transports: set[asyncio.Transport] = set()
+        self._transports: dict[asyncio.Transport, None] = {}  # in the order in which they were accepted
+        self._unsent: list[Callable[[], None]] = []  # send the responses that became ready while it hangs
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -82,6 +91,30 @@
         for transport in list(self._transports):
             transport.close()
 
+    def hang(self) -> None:
+        """Stands still until `go_on`. Meanwhile its system takes connections and bytes, which it reads then,
+        also those that its peer has reset in between. The network resets a part of the new connections."""
+        self.hangs = True
+        for transport in self._transports:
+            transport.pause_reading()
+
+    def go_on(self) -> None:
+        """Ends a hang."""
+        self.hangs = False
+        unsent, self._unsent = self._unsent, []
+        for send in unsent:
+            send()
+        for transport in self._transports:
+            if not transport.is_closing():
+                transport.resume_reading()
+
+    def send(self, transport: asyncio.Transport, response: bytes) -> None:
+        """Sends a response, or holds it back while it hangs."""
+        if self.hangs:
+            self._unsent.append(partial(self.send, transport, response))
+        elif not transport.is_closing():
+            transport.write(response)
+
     def entry(self) -> dict[str, object]:
         """Returns its entry in the endpoint list."""
         return {
@@ -96,11 +129,21 @@
         }
 
     def connected(self, transport: asyncio.Transport) -> None:
-        self._transports.add(transport)
+        self._transports[transport] = None
         self._fleet.connections += 1
+        # The event loop begins to read after this callback, so the pause has to wait for that.
+        asyncio.get_running_loop().call_soon(self._pause_new, transport)
+
+    def _pause_new(self, transport: asyncio.Transport) -> None:
+        if not self.hangs or transport.is_closing():
+            return
+        if self._fleet.random.random() < HANG_RESET_SHARE:
+            transport.abort()
+        else:
+            transport.pause_reading()
 
     def disconnected(self, transport: asyncio.Transport) -> None:
-        self._transports.discard(transport)
+        self._transports.pop(transport, None)
 
     def respond(self, head: str, answer: Callable[[bytes], None], arrived_at: float) -> None:
         """Passes the response to one call to `answer`, at once or later; none if the server is silent.
@@ -116,8 +159,10 @@
                 self._fleet.attempts[-1].ran = False
                 answer(http_answer(503, X_Unrun=1))
                 return
-            self._start_query(call)
+            self._start_query(call, self._fleet.attempts[-1])
         elif method in ("DELETE", "PUT"):
+            if method == "DELETE":
+                self._cancel_query(call)
             answer(http_answer(204))
             return
         query = self._queries.get(call)
@@ -132,17 +177,26 @@
         call = fields["X-Txn"]
         time_out = int(fields["X-Limit-Ms"]) / 1000
         held = MAX_HELD_SECONDS if arrived_at < self.delivers_held_until else 0.0
-        attempt = Attempt(self.uid, call, fields["X-Lane"], arrived_at, time_out, held=held)
+        attempt = Attempt(
+            self.uid, call, fields["X-Lane"], arrived_at, time_out, held=held, read_at=time.time()
+        )
         self._fleet.attempts.append(attempt)
         return call
 
-    def _start_query(self, call: str) -> None:
-        query = self._queries[call] = Query()
+    def _start_query(self, call: str, attempt: Attempt) -> None:
+        query = self._queries[call] = Query(attempt)
         self._running_count += 1
         slowdown = max(1.0, self._running_count / self._cores)
         asyncio.get_running_loop().call_later(self._work * slowdown, self._end_query, query)
 
+    def _cancel_query(self, call: str) -> None:
+        """Records the cancellation. Its load stays, as a server may need some time to free it."""
+        query = self._queries.get(call)
+        if query is not None and not query.ended.is_set():
+            query.attempt.is_cancelled = True
+
     def _end_query(self, query: Query) -> None:
+        query.attempt.is_executed = not query.attempt.is_cancelled
         self._running_count -= 1
         query.ended.set()
 
@@ -206,8 +260,8 @@
         self._server.respond(head, self._write, arrived_at)
 
     def _write(self, response: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(response)
+        if self._transport is not None:
+            self._server.send(self._transport, response)
 
 
 class ServerFleet:
--- a/lotusstream/lab/soak/judge.py
+++ b/lotusstream/lab/soak/judge.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from lotusstream.lab.scale.checker import SLACK, BrokenRule, late_attempts
+from lotusstream.lab.scale.checker import LATE_ATTEMPT_SLACK, SLACK, BrokenRule, late_attempts
 from lotusstream.lab.scale.load import Outcome
 from lotusstream.lab.scale.servers import Attempt
 from lotusstream.lab.soak.plan import RequestClass
@@ -76,6 +76,7 @@
             found.append(BrokenRule("lost", outcome.call, "answered with the rows of another request"))
         found += late_attempts(outcome, own)
         found += _unsafe_repeats(outcome, own, history.classes[outcome.profile])
+        found += _begun_after_hang(outcome, own, history.stalls)
     for attempt in history.attempts:
         withdrawn_at = history.withdrawn.get(attempt.server, math.inf)
         if attempt.at - withdrawn_at > history.drain_grace + SLACK:
@@ -122,6 +123,26 @@
     return []
 
 
+def _begun_after_hang(outcome: Outcome, attempts: list[Attempt], stalls: list[Stall]) -> list[BrokenRule]:
+    """Returns a violation for each attempt that a server read after a hang, after the request's end, and ran
+    to its end. Its gateway had given it up, and should have cancelled it unless it was killed or stood still.
+    """
+    ended_at = outcome.gave_up_at if outcome.gave_up_at is not None else outcome.answered_at
+    if ended_at is None or outcome.excused:
+        return []
+    found = []
+    for attempt in attempts:
+        late = attempt.read_at - ended_at
+        stood_still = any(
+            each.gateway == outcome.gateway and each.began < attempt.read_at and ended_at < each.ended
+            for each in stalls
+        )
+        if attempt.is_executed and late > LATE_ATTEMPT_SLACK and not stood_still:
+            text = f"{attempt.server} began it {late:.3f} s after the request's end, and ran it to its end"
+            found.append(BrokenRule("lost", outcome.call, text))
+    return found
+
+
 def _slow_start_overload(start: ColdStart, attempts: list[Attempt]) -> list[BrokenRule]:
     """Returns a violation if soon after its start, the server received more than `max_requests` in a window.
 
--- a/lotusstream/lab/soak/plan.py
+++ b/lotusstream/lab/soak/plan.py
@@ -51,6 +51,7 @@
     CUT_LINKS = "cut links"
     SLOW_DISCOVERY = "slow discovery"
     STALL_GATEWAY = "stall gateway"
+    HANG_SERVERS = "hang servers"
 
 
 TRANSPORT_FAULTS = (
@@ -62,6 +63,9 @@
 )
 """Kinds of which each plan has one, drawn apart from its other faults."""
 STALL_SHARE = 0.4  # probability that a plan has a stall of a gateway, drawn apart too
+HANG_SHARE = 0.7  # probability that a plan has servers that hang and go on, drawn apart too
+HANG_SECONDS = (1.0, 25.0)  # shortest and longest hang; in a short run, half of its length at most
+MAX_HANG_PART = 0.2  # largest share of the servers that hang
 MAX_STALL_SECONDS = 0.8  # shorter than the time for which clients wait after the deadline of a request
 MEMORY_LIMITS_MB = (32, 64, 192)
 MAX_LINKED_SERVERS = 4
@@ -162,6 +166,7 @@
             *_draw_faults(draw, seconds),
             _draw_transport_fault(transport_draw, seconds),
             *_draw_stall(random.Random(f"stall {seed}"), seconds),
+            *_draw_hang(random.Random(f"hang {seed}"), seconds),
         ),
         memory_mb=MEMORY_LIMITS_MB[-1] if large else transport_draw.choice(MEMORY_LIMITS_MB),
     )
@@ -187,13 +192,23 @@
     return [Fault(at, FaultKind.STALL_GATEWAY, draw.uniform(0.05, 0.4), draw.uniform(0.1, MAX_STALL_SECONDS))]
 
 
+def _draw_hang(draw: random.Random, seconds: float) -> list[Fault]:
+    if draw.random() >= HANG_SHARE:
+        return []
+    shortest, longest = HANG_SECONDS
+    length = draw.uniform(shortest, max(shortest, min(longest, seconds / 2)))
+    at = draw.uniform(FIRST_FAULT_SECONDS, max(FIRST_FAULT_SECONDS, LAST_FAULT_SHARE * seconds - length))
+    return [Fault(at, FaultKind.HANG_SERVERS, draw.uniform(0.05, MAX_HANG_PART), length)]
+
+
 def _draw_transport_fault(draw: random.Random, seconds: float) -> Fault:
     kind = draw.choice(TRANSPORT_FAULTS)
     return Fault(FIRST_FAULT_SECONDS, kind, draw.uniform(0.05, 0.4), seconds / 2)
 
 
 def _draw_faults(draw: random.Random, seconds: float) -> list[Fault]:
-    kinds = [kind for kind in FaultKind if kind not in (*TRANSPORT_FAULTS, FaultKind.STALL_GATEWAY)]
+    drawn_apart = (*TRANSPORT_FAULTS, FaultKind.STALL_GATEWAY, FaultKind.HANG_SERVERS)
+    kinds = [kind for kind in FaultKind if kind not in drawn_apart]
     count = draw.randint(4, 9)
     faults = []
     for _ in range(count):
--- a/lotusstream/lab/soak/server_faults.py
+++ b/lotusstream/lab/soak/server_faults.py
@@ -35,6 +35,7 @@
             FaultKind.WHOLE_LIST: self._whole_list,
             FaultKind.CRASH_SERVERS: self._crash_servers,
             FaultKind.SILENT_SERVERS: self._silent_servers,
+            FaultKind.HANG_SERVERS: self._hang_servers,
             FaultKind.FULL_SERVERS: self._full_servers,
             FaultKind.RESET_CONNECTIONS: self._reset_connections,
             FaultKind.CLOSE_IDLE: self._close_connections,
@@ -127,6 +128,16 @@
         for server in servers:
             server.silent = False
 
+    async def _hang_servers(self, fault: Fault) -> None:
+        """Lets servers hang, and go on with what came meanwhile. Those behind links are left out: a link that
+        is cut at the same time holds the cancellation of an attempt that it has let through."""
+        servers = [each for each in self._select_servers(fault.part) if each not in self._links]
+        for server in servers:
+            server.hang()
+        await asyncio.sleep(fault.length)
+        for server in servers:
+            server.go_on()
+
     async def _full_servers(self, fault: Fault) -> None:
         servers = self._select_servers(fault.part)
         for server in servers:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -50,6 +50,7 @@
         ("unlimited-client-memory", 8, 6.0, "of 32 MB"),
         ("no-late-checks", 11, 6.0, "answer None"),
         ("calls-delivered-late", 5, 6.0, "after the request's end"),
+        ("cancelled-once", 9, 6.0, "and ran it to its end"),
         ("dropped-overdue-polls", 6, 20.0, "after it was withdrawn"),
     ],
 )
@@ -122,6 +123,23 @@
     assert broken_rules(history(outcome_with(), held_short)) == ["deadline"]
 
 
+def test_attempt_that_a_server_begins_after_a_hang_must_be_cancelled() -> None:
+    """The server has received the attempt in time, and reads it long after the request's end. Only a gateway
+    that stood still or was killed may have left it to run."""
+
+    def begun(executed: bool, stalls: tuple[Stall, ...] = (), excused: bool = False) -> list[str]:
+        attempt = Attempt("s", "a", "booking", 10.1, 0.5, read_at=12.0, is_executed=executed)
+        outcome = Outcome("a", "booking", 10.0, 1.0, answer="failed", answered_at=10.9, gateway="g0")
+        outcome.excused = excused
+        recorded = history(outcome, attempt)
+        recorded.stalls += stalls
+        return broken_rules(recorded)
+
+    assert begun(True) == ["lost"] and begun(False) == []
+    assert begun(True, (Stall("g0", 10.8, 11.5),)) == begun(True, excused=True) == []
+    assert begun(True, (Stall("g1", 10.8, 11.5),)) == begun(True, (Stall("g0", 10.2, 10.8),)) == ["lost"]
+
+
 def waits(*samples: tuple[float, float]) -> ProcessorWait:
     """Returns the record of a process that has ended, with these samples."""
     recorded = ProcessorWait(0)
