A closed client connection is freed without a collection again

Change: the parts know the connection weakly; only clients with open requests are checked for a close while they wait.

Evidence: test_closed_connection_is_freed_without_a_collection failed before.

--- a/lotusstream/net/client.py
+++ b/lotusstream/net/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import weakref
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -62,10 +63,12 @@
         self._report = report
         self._is_healthy = is_healthy
         self._account = memory.open_account(sock)
-        self._receiver = ClientReceiver(sock, self._account, clock)
+        # Its parts know the connection weakly, so that a closed one is freed without a collection.
+        weak = weakref.proxy(self)
+        self._receiver = ClientReceiver(sock, self._account, clock, lambda: bool(weak._open_count))
         self._limiter = limiter
         self._intake = RequestIntake(
-            self, self._account, deployment, clock, statement_search, tenant_of, supervisor
+            weak, self._account, deployment, clock, statement_search, tenant_of, supervisor
         )
         self._is_closing = False  # True: no further reply is queued, and bytes that arrive are dropped
         self._is_writing = False
@@ -239,8 +242,7 @@
 
     def _on_process_request(self, message: front.ProcessRequest, arrived_at: int) -> None:
         """Passes a request on to the intake. Raises FrameError if its sequence number is in use."""
-        seqid = message.seqid
-        if seqid in self.open_requests or seqid in self._intake:
+        if (seqid := message.seqid) in self.open_requests or seqid in self._intake:
             raise front.FrameError(f"sequence number {seqid} belongs to a request that is still open")
         try:
             if self._open_count >= front.MAX_OPEN_REQUEST_COUNT:
@@ -258,14 +260,13 @@
         if self._is_closing:
             return
         message, sent_at = request.message, request.sent_at
-        deadline = sent_at + request.fields.time_left
         received = ReceivedRequest(
             self,
             message.seqid,
             request.fields,
             request.group,
             message.body,
-            deadline,
+            sent_at + request.fields.time_left,
             sent_at,
             request.tenant,
         )
--- a/lotusstream/net/client_receiver.py
+++ b/lotusstream/net/client_receiver.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from lotusstream.net.buffer import Buffer
 from lotusstream.net.client_memory import ClientAccount, MemoryBudgetError, MemoryUse
@@ -23,7 +24,10 @@
     Closing the connection instead would make clients connect again at once, which costs more processor time.
     """
 
-    def __init__(self, sock: socket.socket, account: ClientAccount, clock: Clock) -> None:
+    def __init__(
+        self, sock: socket.socket, account: ClientAccount, clock: Clock, has_requests: Callable[[], bool]
+    ) -> None:
+        """`has_requests`: whether the client has requests that would have to be abandoned if it closed."""
         self.is_waiting = False  # whether it reads nothing because there is no memory
         self.is_stopped = False  # True: nothing more is read
         # When the first bytes of an incomplete message arrived, microseconds; None: there is none.
@@ -31,6 +35,7 @@
         self._sock = sock
         self._account = account
         self._clock = clock
+        self._has_requests = has_requests
         # Since when received bytes may have been left unread on purpose, microseconds; None: they were not.
         self._unread_since: int | None = None
         self._buffer = Buffer(INITIAL_BUFFER_BYTES, front.FRAME.size + front.MAX_FRAME_BYTES)
@@ -64,7 +69,10 @@
         return False
 
     async def _is_closed_within(self, seconds: float) -> bool:
-        """Waits, at most until the client has closed its side. Returns whether it has."""
+        """Waits, at most until a client with requests has closed its side. Returns whether it has."""
+        if not self._has_requests():  # checks of hundreds of idle clients would cost much processor time
+            await asyncio.sleep(seconds)
+            return False
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + seconds
         while loop.time() < ends_at:
--- a/tests/net/test_client_memory.py
+++ b/tests/net/test_client_memory.py
@@ -7,19 +7,27 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import re
 import signal
 import socket
 import sys
+import weakref
 from pathlib import Path
 
 import pytest
-from conftest import World
+from conftest import World, settings
 
 from lotusstream.counters import Counters
+from lotusstream.deployment import read_settings
 from lotusstream.lab.unfinished_messages import unfinished_messages
+from lotusstream.net.actor import Supervisor
 from lotusstream.net.buffer import Buffer, BufferFullError
+from lotusstream.net.client import ClientConnection
+from lotusstream.net.client_limits import ClientConnectionLimiter
 from lotusstream.net.client_memory import ClientAccount, ClientMemory, MemoryBudgetError, MemoryUse
+from lotusstream.net.clock import Clock
+from lotusstream.net.statement_search import StatementSearch
 
 MB = 1 << 20
 UNFINISHED_CLIENT_COUNT = 320  # with the usual ones fewer than a third of the descriptors
@@ -70,6 +78,32 @@
     assert asyncio.get_running_loop().time() - began < MAX_SHUTDOWN_SECONDS
 
 
+async def test_closed_connection_is_freed_without_a_collection() -> None:
+    """Clients connect again and again. If a closed connection were part of a reference cycle, it would stay
+    in memory until the next full collection, and memory would grow without end."""
+    server, other = socket.socketpair()
+    server.setblocking(False)
+    clock, supervisor = Clock(), Supervisor()
+    limiter = ClientConnectionLimiter(8, 1, clock, supervisor)
+    client = ClientConnection(
+        server, read_settings(1, settings()), clock, lambda _event: None, lambda: True,
+        memory_of(16 * MB), limiter, StatementSearch(), supervisor,
+    )  # fmt: skip
+    assert limiter.admit(client)
+    freed = weakref.ref(client)
+    serving = asyncio.create_task(client.serve())
+    await asyncio.sleep(0.01)
+    gc.disable()
+    try:
+        other.close()
+        await serving
+        del client, serving
+        await asyncio.sleep(0.01)
+        assert freed() is None
+    finally:
+        gc.enable()
+
+
 def memory_of(memory: int) -> ClientMemory:
     return ClientMemory(memory, Counters())
 
